--- /dev/null
+++ b/crates/lynxtally-adapter/src/backend.rs
@@ -0,0 +1,228 @@
+//! One backend: its door, its policy, and the translation between wire and interface.
+
+use crate::wire::{Idempotency, Inbound, Incoming, Outgoing, Profile};
+use lynxtally::*;
+use std::io;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+
+pub struct Backend {
+    door: Door,
+    policy: Policy,
+    stages: Vec<String>,
+    customers: Vec<String>,
+    actions: Vec<Action>,
+    broken: Option<String>,
+}
+
+impl Backend {
+    pub fn start(profile: Profile, seed: u64, now: Instant) -> Result<Self, String> {
+        let stages = profile.lanes.iter().map(|lane| lane.name.clone()).collect();
+        let customers = profile.orgs.iter().map(|org| org.name.clone()).collect();
+        let policy = Policy::new(settings(profile)?, seed, now);
+        Ok(Self { door: Door::default(), policy, stages, customers, actions: Vec::new(), broken: None })
+    }
+
+    /// Passes one event to the policy. A task that has no index any more is over: nothing follows.
+    pub fn take(&mut self, now: Instant, incoming: Incoming) -> Result<(), String> {
+        let event = match incoming {
+            Incoming::Inbound(inbound) => Some(Event::Arrived(self.arrival(&inbound)?)),
+            Incoming::Abandoned { xid, .. } => self.door.find(&xid).map(Event::CallerGone),
+            Incoming::NeedsDep { xid, .. } => self.door.find(&xid).map(Event::AtCall),
+            Incoming::Result { xid, status, .. } => {
+                let outcome = run_outcome(status)?;
+                self.door.find(&xid).map(|task| Event::RunEnded(task, outcome))
+            }
+            Incoming::Called { xid, status, .. } => {
+                let outcome = call_outcome(status)?;
+                self.door.find(&xid).map(|task| Event::CallEnded(task, outcome))
+            }
+            Incoming::Fired { stats, .. } => Some(Event::Timer(Gauges {
+                cores_busy: stats.cpu_busy,
+                runnable: stats.runnable,
+                memory: stats.mem_used,
+            })),
+            Incoming::Quiesce { kill, .. } => Some(Event::Drain(kill.instant())),
+            Incoming::Frame { .. } | Incoming::Eob | Incoming::Init { .. } | Incoming::Retire { .. } => None,
+        };
+        if let (Some(event), None) = (event, &self.broken) {
+            let policy = &mut self.policy;
+            self.broken = guarded(|| policy.on(now, event));
+        }
+        Ok(())
+    }
+
+    /// Lets the policy decide and writes its actions.
+    pub fn decide(
+        &mut self,
+        i: u64,
+        now: Instant,
+        write: &mut impl FnMut(&Outgoing) -> io::Result<()>,
+    ) -> io::Result<()> {
+        let Self { policy, actions, .. } = self;
+        if self.broken.is_none() {
+            self.broken = guarded(|| policy.settle(now, actions));
+        }
+        if let Some(msg) = &self.broken {
+            return write(&Outgoing::InternalError { i, msg });
+        }
+        for action in self.actions.drain(..) {
+            if let Action::Release(task) = action {
+                self.door.leave(task);
+            } else if let Some(outgoing) = Outgoing::for_backend(i, &action) {
+                write(&outgoing)?;
+            } else if let Some(xid) = subject(&action).and_then(|task| self.door.name(task)) {
+                if let Some(outgoing) = Outgoing::for_task(i, &action, xid) {
+                    write(&outgoing)?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn arrival(&mut self, inbound: &Inbound) -> Result<Arrival, String> {
+        let known = |names: &[String], name: &str| names.iter().position(|known| known == name);
+        let stage = known(&self.stages, &inbound.profile).ok_or_else(|| {
+            format!("field `profile`: no class named {:?} in the settings", inbound.profile)
+        })?;
+        let customer =
+            match inbound.client_group.as_ref().and_then(|name| name.given()) {
+                Some(name) => Some(known(&self.customers, name).ok_or_else(|| {
+                    format!("field `client-group`: no tenant named {name:?} in the settings")
+                })?),
+                None => None,
+            };
+        if self.door.find(&inbound.xid).is_some() {
+            return Err(format!("field `xid`: {:?} came twice", inbound.xid));
+        }
+        let repeat = match inbound.earlier.as_ref().and_then(|name| name.given()) {
+            None => Repeat::No,
+            Some(earlier) => self.door.find(earlier).map_or(Repeat::OfReleased, Repeat::Of),
+        };
+        const HINTED: u64 = 1;
+        Ok(Arrival {
+            task: self.door.enter(&inbound.xid),
+            stage,
+            customer,
+            caller: inbound.by,
+            hint: inbound.effort_ms.filter(|_| inbound.opts & HINTED != 0).map(|ms| ms.span()),
+            unread: inbound.lay_ms.span(),
+            limit: inbound.not_after_ms.map(|ms| ms.instant()).filter(|&at| at > Instant::from_micros(0)),
+            repeat,
+            shareable: inbound.item.as_ref().is_some_and(|item| item.given().is_some()),
+            kb: inbound.footprint,
+            place: inbound.place,
+        })
+    }
+}
+
+/// Runs a piece of the module; a panic comes back as its message.
+fn guarded(run: impl FnOnce()) -> Option<String> {
+    let panic = catch_unwind(AssertUnwindSafe(run)).err()?;
+    let text = panic.downcast_ref::<&str>().map(|text| (*text).to_owned());
+    Some(text.or_else(|| panic.downcast_ref::<String>().cloned()).unwrap_or_else(|| "a panic".to_owned()))
+}
+
+/// The task that an action concerns.
+fn subject(action: &Action) -> Option<TaskId> {
+    use Action::*;
+    match action {
+        Run(task) | Stop(task) | Abandon(task) | Skip(task) | Reuse(task) | Keep(task, _) | Forget(task) => {
+            Some(*task)
+        }
+        Reject { task, .. } | Call { task, .. } => Some(*task),
+        _ => None,
+    }
+}
+
+fn run_outcome(status: u64) -> Result<RunOutcome, String> {
+    match status {
+        200 | 502 => Ok(RunOutcome::Answered),
+        444 => Ok(RunOutcome::Cancelled),
+        409 => Ok(RunOutcome::Moot),
+        other => Err(format!("field `status`: {other} is no outcome of a run")),
+    }
+}
+
+fn call_outcome(status: u64) -> Result<CallOutcome, String> {
+    match status {
+        200 => Ok(CallOutcome::Ok),
+        429 | 521 | 409 => Ok(CallOutcome::NeverRan),
+        502 | 408 | 520 | 444 => Ok(CallOutcome::MayHaveRun),
+        other => Err(format!("field `status`: {other} is no outcome of a call")),
+    }
+}
+
+/// The settings in the project's words, or what makes no sense about them.
+fn settings(profile: Profile) -> Result<Settings, String> {
+    let Profile { lanes, orgs, specifics: own, rules, allowed, over_share_worth, servers, worth_by } =
+        profile;
+    if own.cores == 0 {
+        return Err("settings: `specifics.cores` is 0".into());
+    }
+    if lanes.is_empty() {
+        return Err("settings: `lanes` is empty".into());
+    }
+    if own.ram_kb <= 0.0 || own.blowup <= 0.0 {
+        return Err("settings: `specifics.ram-kb` and `specifics.blowup` must be above 0".into());
+    }
+    let stage = |(at, lane): (usize, &crate::wire::Lane)| StageSettings {
+        utility: lane.importance,
+        late_part: lane.late_worth,
+        due: lane.promise_ms.span(),
+        limit: lane.deadline_ms.span(),
+        effect: match lane.idempotency {
+            Idempotency::Pure => Effect::Restartable,
+            Idempotency::Token => Effect::Fingerprinted,
+            Idempotency::SideEffect => Effect::SideEffecting,
+        },
+        repeat_window: lane.dedup_window_ms.span(),
+        calls: own.class_calls.get(at).copied().unwrap_or(false),
+        skip_part: own.class_skip_worth.get(at).copied().unwrap_or(0.0),
+    };
+    let stages: Vec<StageSettings> = lanes.iter().enumerate().map(stage).collect();
+    if let Some(at) = stages.iter().position(|s| s.due == Span::ZERO || s.limit == Span::ZERO) {
+        return Err(format!("settings: class {:?} has no `promise-ms` or no `deadline-ms`", lanes[at].name));
+    }
+    Ok(Settings {
+        cores: own.cores,
+        memory_kb: own.ram_kb,
+        run_memory: own.blowup,
+        key_kb: own.kb_per_key,
+        cold: own.cold,
+        cold_share: rules.cold_share,
+        warm_after: rules.warm_after_ms.span(),
+        crowd_limit: rules.fall_multiple,
+        crowd_over: rules.tip_after_ms.span(),
+        drain_grace: rules.drain_grace_ms.span(),
+        stages,
+        quotas: orgs.iter().map(|org| org.quota_per_s).collect(),
+        over_share: over_share_worth,
+        by_work: worth_by.as_deref() == Some("work"),
+        backends: servers.unwrap_or(1),
+        callers: own.upstreams.unwrap_or(1),
+        below: match own.below.as_deref() {
+            Some("shared") => Below::Shared {
+                calls: own.calls_out,
+                over: own.calls_over_ms.span(),
+                linger: own.linger_ms.span(),
+            },
+            Some("tier") => Below::Tier,
+            _ => Below::Nothing,
+        },
+        stopping: match own.stop_mode.as_deref() {
+            Some("drop") => Stopping::Drop,
+            Some("pause") => Stopping::Pause,
+            _ => Stopping::Never,
+        },
+        free_value: match own.say.as_deref() {
+            Some("level") => FreeValue::Level,
+            Some("credit") => FreeValue::Credit,
+            Some("weight") => FreeValue::Weight,
+            _ => FreeValue::Silent,
+        },
+        heeded: own.heeded_ms.span(),
+        share_for: own.share_for_ms.span(),
+        idle_after: own.idle_ms.span(),
+        hold_off: allowed.filter(|a| a.retry_after).map_or(Span::ZERO, |a| a.max_retry_after_ms.span()),
+    })
+}
