--- a/src/policy.rs
+++ b/src/policy.rs
@@ -225,6 +225,7 @@
     /// Decides, and appends what the host shall do.
     pub fn settle(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.advance(now);
+        self.select();
         while let Some(&(at, id)) = self.timed.first() {
             if at > now {
                 break;
@@ -232,7 +233,6 @@
             self.timed.pop_first();
             self.look(id);
         }
-        self.select();
         self.let_calls_go();
         self.emit(actions);
     }
@@ -674,7 +674,10 @@
     fn select(&mut self) {
         while let Some(&(_, id)) = self.hold.first() {
             let task = self.task(id).expect("held");
-            if self.refuse_at(task) <= self.now {
+            // Where every held task finds a free core, a long shot costs nobody anything.
+            let free = self.load.on_cores + self.hold.len() as f64 <= f64::from(self.set.cores);
+            let late = if free { self.wanted_by(task) } else { self.refuse_at(task) };
+            if late <= self.now {
                 self.end(id, Answer::Rejected { terminal: true });
                 continue;
             }
