Give a tier below a third of the due time, and late work only its late part's rate

Books: a stage whose late answers earn a part was held and ranked as if lateness cost nothing; now its rate falls to that part at its due time.

--- a/crates/lynxtally-adapter/src/backend.rs
+++ b/crates/lynxtally-adapter/src/backend.rs
@@ -154,7 +154,7 @@
 
 /// The settings in the project's words, or what makes no sense about them.
 fn settings(profile: Profile) -> Result<Settings, String> {
-    let Profile { lanes, orgs, specifics: own, rules, allowed, over_share_worth, servers, worth_by } =
+    let Profile { lanes, orgs, specifics: own, rules, allowed, over_share_worth, servers, tier, worth_by } =
         profile;
     if own.cores == 0 {
         return Err("settings: `specifics.cores` is 0".into());
@@ -200,6 +200,7 @@
         by_work: worth_by.as_deref() == Some("work"),
         backends: servers.unwrap_or(1),
         callers: own.upstreams.unwrap_or(1),
+        depth: tier,
         below: match own.below.as_deref() {
             Some("shared") => Below::Shared {
                 calls: own.calls_out,
--- a/crates/lynxtally-adapter/src/wire.rs
+++ b/crates/lynxtally-adapter/src/wire.rs
@@ -148,6 +148,8 @@
     #[serde(default = "one")]
     pub over_share_worth: f64,
     pub servers: Option<u32>,
+    #[serde(default)]
+    pub tier: u32,
     pub worth_by: Option<String>,
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -115,6 +115,8 @@
     pub backends: u32,
     /// Callers of this tier at this start.
     pub callers: u32,
+    /// How many tiers of backends stand between this one and the clients.
+    pub depth: u32,
     /// What the tasks call.
     pub below: Below,
     /// Whether running work can be stopped.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 //!     by_work: false,
 //!     backends: 3,
 //!     callers: 2,
+//!     depth: 0,
 //!     below: Below::Nothing,
 //!     stopping: Stopping::Never,
 //!     free_value: FreeValue::Silent,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -41,6 +41,9 @@
 const ALLOWANCE_SECS: f64 = 2.0;
 /// Part of the due time that the tasks let in by credit may spend here, all in all.
 const CREDIT_STAY: f64 = 0.6;
+/// A caller that is itself a backend has spent part of the due time and wants its own share of the rest: so
+/// much of it is left for each tier that stands above.
+const TIER_SHARE: f64 = 1.0 / 3.0;
 /// How fast the shares of the callers are forgotten, for each arrival.
 const CALLER_FADE: f64 = 0.98;
 
@@ -76,7 +79,8 @@
     stage: usize,
     effect: Effect,
     customer: Option<usize>,
-    due: Instant,
+    /// Until when an answer earns what the rate says.
+    wanted: Instant,
     limit: Instant,
     kb: f64,
     basis: f64,
@@ -350,18 +354,9 @@
         Span::from_secs(self.cost(task.stage, task.basis) * crowd + self.rows[task.stage].waits)
     }
 
-    /// Until when an answer earns anything.
-    fn wanted_by(&self, task: &Task) -> Instant {
-        if self.set.stages[task.stage].late_part > 0.0 {
-            task.limit
-        } else {
-            task.due.min(task.limit)
-        }
-    }
-
     /// The point of refusal: later than this, a held task that starts is not expected to be in time.
     fn refuse_at(&self, task: &Task) -> Instant {
-        self.wanted_by(task) - self.stay(task) * REFUSE_AT
+        task.wanted - self.stay(task) * REFUSE_AT
     }
 
     /// Whether the demand of one more task fits under the learned throughput.
@@ -405,14 +400,14 @@
                 *have -= 1.0;
             }
         }
-        let due = came + stage.due;
+        let due = came + stage.due * TIER_SHARE.powi(self.set.depth as i32);
         let demand = self.cost(arrival.stage, basis) / stage.due.secs().max(1e-3);
         let (effect, keep_for) = (stage.effect, stage.repeat_window);
         let task = Task {
             stage: arrival.stage,
             effect,
             customer: arrival.customer,
-            due,
+            wanted: due.min(limit),
             limit,
             kb: arrival.kb,
             basis,
@@ -620,7 +615,7 @@
     fn look(&mut self, id: TaskId) {
         let Some(task) = self.task(id) else { return };
         let (place, limit, kept) = (task.place, task.limit, task.kept_until);
-        let wanted = self.wanted_by(task);
+        let wanted = task.wanted;
         if place == Place::Over {
             if kept.is_some_and(|until| until <= self.now) {
                 self.reweigh(id, |task| task.kept_until = None);
@@ -632,7 +627,7 @@
             Place::Held => {
                 let at = self.refuse_at(self.task(id).expect("inside"));
                 if at <= self.now {
-                    return self.end(id, Answer::Rejected { terminal: true });
+                    return self.too_late(id);
                 }
                 self.look_at(id, at);
             }
@@ -643,6 +638,22 @@
         }
     }
 
+    /// A held task can't meet its due time any more: it is rejected, or, where a late answer still earns a
+    /// part, goes on with a rate cut to that part until its time limit.
+    fn too_late(&mut self, id: TaskId) {
+        let part = self.set.stages[self.task(id).expect("held").stage].late_part;
+        let task = self.task_mut(id);
+        if part <= 0.0 || task.wanted >= task.limit {
+            return self.end(id, Answer::Rejected { terminal: true });
+        }
+        let rate = task.rate;
+        (task.rate, task.wanted) = (rate * part, task.limit);
+        self.hold.remove(&(order(rate), id));
+        self.hold.insert((order(rate * part), id));
+        let at = self.refuse_at(self.task(id).expect("held"));
+        self.look_at(id, at.max(self.now));
+    }
+
     /// Gives a task its final answer. What runs and can't be stopped goes on using the machine.
     fn end(&mut self, id: TaskId, answer: Answer) {
         let task = self.task_mut(id);
@@ -676,9 +687,9 @@
             let task = self.task(id).expect("held");
             // Where every held task finds a free core, a long shot costs nobody anything.
             let free = self.load.on_cores + self.hold.len() as f64 <= f64::from(self.set.cores);
-            let late = if free { self.wanted_by(task) } else { self.refuse_at(task) };
+            let late = if free { task.wanted } else { self.refuse_at(task) };
             if late <= self.now {
-                self.end(id, Answer::Rejected { terminal: true });
+                self.too_late(id);
                 continue;
             }
             let jammed =
@@ -701,7 +712,7 @@
         let task = self.task_mut(id);
         (task.ran, task.began) = (true, now);
         let task = self.task(id).expect("inside");
-        let at = if stoppable { self.wanted_by(task) } else { task.limit };
+        let at = if stoppable { task.wanted } else { task.limit };
         self.look_at(id, at);
     }
 
@@ -715,7 +726,8 @@
             let room = self.load.calling + 1.0 <= self.window.min(share.max(1.0)) && self.calls_mean < share;
             let task = self.task(id).expect("standing");
             let rest = Span::from_secs((self.cost(task.stage, task.basis) - task.worked).max(0.0));
-            let wanted = self.wanted_by(task);
+            let late = self.set.stages[task.stage].late_part > 0.0;
+            let wanted = if late { task.limit } else { task.wanted };
             let left = wanted - self.now;
             if left <= rest {
                 self.leave_out(id);
