Let the refusal point see the line of held work ahead

A held task behind more work than can be done before its due time is rejected at once, so that its caller may go elsewhere and hears the free value. It should also guard against slow nodes and unread backlogs; it could harm where the expected cost is too high, by refusing what would have been in time.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -627,7 +627,7 @@
             Place::Held => {
                 let at = self.refuse_at(self.task(id).expect("inside"));
                 if at <= self.now {
-                    return self.too_late(id);
+                    return self.too_late(id, true);
                 }
                 self.look_at(id, at);
             }
@@ -640,11 +640,11 @@
 
     /// A held task can't meet its due time any more: it is rejected, or, where a late answer still earns a
     /// part, goes on with a rate cut to that part until its time limit.
-    fn too_late(&mut self, id: TaskId) {
+    fn too_late(&mut self, id: TaskId, terminal: bool) {
         let part = self.set.stages[self.task(id).expect("held").stage].late_part;
         let task = self.task_mut(id);
         if part <= 0.0 || task.wanted >= task.limit {
-            return self.end(id, Answer::Rejected { terminal: true });
+            return self.end(id, Answer::Rejected { terminal });
         }
         let rate = task.rate;
         (task.rate, task.wanted) = (rate * part, task.limit);
@@ -689,7 +689,7 @@
             let free = self.load.on_cores + self.hold.len() as f64 <= f64::from(self.set.cores);
             let late = if free { task.wanted } else { self.refuse_at(task) };
             if late <= self.now {
-                self.too_late(id);
+                self.too_late(id, true);
                 continue;
             }
             let jammed =
@@ -699,6 +699,7 @@
             }
             self.start(id);
         }
+        self.judge_line();
         // The hold itself has to fit: the lowest rates go first.
         while self.load.kb > self.set.memory_kb * CEILING {
             let Some(&(_, id)) = self.hold.last() else { break };
@@ -706,6 +707,24 @@
         }
     }
 
+    /// The refusal point sees the line too: what stands behind more work than can be done before its due time
+    /// is rejected now, while another backend may still be in time, and its caller hears the free value.
+    fn judge_line(&mut self) {
+        let cores = f64::from(self.set.cores);
+        let (mut ahead, mut hopeless) = (0.0, Vec::new());
+        for &(_, id) in &self.hold {
+            let task = self.task(id).expect("held");
+            if self.now + Span::from_secs(ahead / cores) > self.refuse_at(task) {
+                hopeless.push(id);
+            } else {
+                ahead += self.cost(task.stage, task.basis);
+            }
+        }
+        for id in hopeless {
+            self.too_late(id, false);
+        }
+    }
+
     fn start(&mut self, id: TaskId) {
         self.put(id, Place::OnCores);
         let (now, stoppable) = (self.now, self.set.stopping != Stopping::Never);
