--- a/src/policy.rs
+++ b/src/policy.rs
@@ -44,6 +44,10 @@
 /// A caller that is itself a backend has spent part of the due time and wants its own share of the rest: so
 /// much of it is left for each tier that stands above.
 const TIER_SHARE: f64 = 1.0 / 3.0;
+/// Tasks that lay unread for this share of the mean due time take all credit.
+const UNREAD_SHARE: f64 = 0.25;
+/// What one arrival moves the time that tasks lie unread.
+const UNREAD_GAIN: f64 = 1.0 / 8.0;
 /// How fast the shares of the callers are forgotten, for each arrival.
 const CALLER_FADE: f64 = 0.98;
 
@@ -152,6 +156,8 @@
     clock: f64,
     /// Calls in hand, averaged over the dependency's span.
     calls_mean: f64,
+    /// How long tasks lie unread lately, in seconds.
+    unread: f64,
     /// Summed demand that the cores have been seen to carry.
     throughput: f64,
     window: f64,
@@ -195,6 +201,7 @@
             load: Load::default(),
             clock: 0.0,
             calls_mean: 0.0,
+            unread: 0.0,
             throughput: 0.0,
             window: cores,
             window_cut_at: now,
@@ -265,6 +272,7 @@
             let part = quota / f64::from(self.set.backends.max(1));
             *have = (*have + part * past).min(part * ALLOWANCE_SECS);
         }
+        self.unread *= (-past / self.set.heeded.secs().max(1e-3)).exp();
         self.now = now;
     }
 
@@ -436,6 +444,7 @@
         self.tasks[index] = Some(task);
         self.put(id, Place::Held);
         self.note_caller(arrival.caller);
+        self.unread += (arrival.unread.secs() - self.unread) * UNREAD_GAIN;
         if self.kill.is_some_and(|(grace, _)| came >= grace) {
             return self.end(id, Answer::Rejected { terminal: false });
         }
@@ -783,7 +792,13 @@
         let cores = f64::from(self.set.cores);
         let work: f64 = self.rows.iter().map(|r| r.cost).sum::<f64>() / self.rows.len().max(1) as f64;
         let due = self.set.stages.iter().map(|s| s.due.secs()).fold(f64::INFINITY, f64::min);
-        let room = (cores / work.max(1e-6) * due * CREDIT_STAY).max(cores);
+        // Reading costs work whatever is decided: tasks that lay unread say that too much is sent here, and a
+        // node that reads only what is stale by then answers nobody. Should catch every cause of a backlog
+        // (slow cores, one caller's burst, others gone); could harm where a pause alone let tasks lie, for as
+        // long as callers heed.
+        let mean_due = self.set.stages.iter().map(|s| s.due.secs()).sum::<f64>() / self.rows.len() as f64;
+        let unread = self.unread / (mean_due * UNREAD_SHARE);
+        let room = (cores / work.max(1e-6) * due * CREDIT_STAY).max(cores) * (1.0 - unread).max(0.0);
         let full = ((self.load.out + self.hold.len() as f64) / room.max(1.0)).min(2.0);
         match self.set.free_value {
             FreeValue::Silent => None,
