--- a/src/policy.rs
+++ b/src/policy.rs
@@ -35,6 +35,8 @@
 const GAUGE_SPAN: Span = Span::from_millis(500);
 /// A failed call cuts the window of calls to this share.
 const WINDOW_CUT: f64 = 0.7;
+/// A call that failed after this many times the usual time counts as crowding below.
+const CALL_SLOW: f64 = 4.0;
 /// Tries of one call at most.
 const CALL_TRIES: u32 = 3;
 /// A customer's allowance, in seconds of its part of the quota.
@@ -46,6 +48,9 @@
 const TIER_SHARE: f64 = 1.0 / 3.0;
 /// Tasks that lay unread for this share of the mean due time take all credit.
 const UNREAD_SHARE: f64 = 0.25;
+/// Unread for this share of the mean due time, a node leaves the callers' lists; at the other it comes back.
+const STALE: f64 = 0.6;
+const FRESH_AGAIN: f64 = 0.1;
 /// What one arrival moves the time that tasks lie unread.
 const UNREAD_GAIN: f64 = 1.0 / 8.0;
 /// How fast the shares of the callers are forgotten, for each arrival.
@@ -158,10 +163,14 @@
     calls_mean: f64,
     /// How long tasks lie unread lately, in seconds.
     unread: f64,
+    /// Whether what is read is too old to be answered in time, so that callers hear no advice either.
+    stale: bool,
     /// Summed demand that the cores have been seen to carry.
     throughput: f64,
     window: f64,
     window_cut_at: Instant,
+    /// Usual time of a call that succeeds, in seconds.
+    call_time: f64,
     full_since: Option<Instant>,
     kill: Option<(Instant, Instant)>,
     told: Option<Outward>,
@@ -202,9 +211,11 @@
             clock: 0.0,
             calls_mean: 0.0,
             unread: 0.0,
+            stale: false,
             throughput: 0.0,
             window: cores,
             window_cut_at: now,
+            call_time: 0.0,
             full_since: None,
             kill: None,
             told: None,
@@ -503,10 +514,13 @@
         let owed = task.owed;
         if outcome == CallOutcome::Ok {
             self.window += 1.0 / self.window.max(1.0);
+            self.call_time += (took.secs() - self.call_time) * COST_GAIN;
             self.put(id, Place::OnCores);
             return self.settle_told(id);
         }
-        if self.now - self.window_cut_at > took {
+        // A time-out that the task's own haste made short says nothing of what lies below.
+        let slow = took.secs() > self.call_time * CALL_SLOW;
+        if (slow || outcome == CallOutcome::NeverRan) && self.now - self.window_cut_at > took {
             self.window = (self.window * WINDOW_CUT).max(1.0);
             self.window_cut_at = self.now;
         }
@@ -574,6 +588,7 @@
 
     fn timer(&mut self, gauges: Gauges) {
         self.arm = true;
+        self.judge_staleness();
         let cores = f64::from(self.set.cores);
         let busy = gauges.cores_busy.unwrap_or(1.0);
         if self.load.on_cores < cores {
@@ -601,6 +616,22 @@
         }
     }
 
+    /// Callers whose tries time out while they lie unread never hear the free value; only the list of servers
+    /// still reaches them. Each node leaves it by chance, so that one common cause does not take all at once.
+    fn judge_staleness(&mut self) {
+        let due = self.mean_due();
+        let chance = self.chance.unit();
+        if self.stale {
+            self.stale = self.unread > due * FRESH_AGAIN;
+        } else {
+            self.stale = self.unread > due * STALE && chance < self.period.secs() / due;
+        }
+    }
+
+    fn mean_due(&self) -> f64 {
+        self.set.stages.iter().map(|s| s.due.secs()).sum::<f64>() / self.rows.len() as f64
+    }
+
     fn drain(&mut self, kill: Instant) {
         let early = self.period * ANSWER_EARLY;
         self.kill = Some((self.now + self.set.drain_grace - early, kill));
@@ -796,8 +827,7 @@
         // node that reads only what is stale by then answers nobody. Should catch every cause of a backlog
         // (slow cores, one caller's burst, others gone); could harm where a pause alone let tasks lie, for as
         // long as callers heed.
-        let mean_due = self.set.stages.iter().map(|s| s.due.secs()).sum::<f64>() / self.rows.len() as f64;
-        let unread = self.unread / (mean_due * UNREAD_SHARE);
+        let unread = self.unread / (self.mean_due() * UNREAD_SHARE);
         let room = (cores / work.max(1e-6) * due * CREDIT_STAY).max(cores) * (1.0 - unread).max(0.0);
         let full = ((self.load.out + self.hold.len() as f64) / room.max(1.0)).min(2.0);
         match self.set.free_value {
@@ -827,7 +857,7 @@
     // --- The difference between what is wanted and what the host was told ---
 
     fn emit(&mut self, actions: &mut Vec<Action>) {
-        let outward = Outward { health: self.kill.is_none(), free: self.free() };
+        let outward = Outward { health: self.kill.is_none() && !self.stale, free: self.free() };
         if self.told.map(|t| t.health) != Some(outward.health) {
             actions.push(Action::Health(outward.health));
         }
