--- a/src/policy.rs
+++ b/src/policy.rs
@@ -163,6 +163,8 @@
     calls_mean: f64,
     /// How long tasks lie unread lately, in seconds.
     unread: f64,
+    /// Expected core time of all that is held, in seconds.
+    held_cost: f64,
     /// Whether what is read is too old to be answered in time, so that callers hear no advice either.
     stale: bool,
     /// Summed demand that the cores have been seen to carry.
@@ -211,6 +213,7 @@
             clock: 0.0,
             calls_mean: 0.0,
             unread: 0.0,
+            held_cost: 0.0,
             stale: false,
             throughput: 0.0,
             window: cores,
@@ -760,6 +763,7 @@
                 ahead += self.cost(task.stage, task.basis);
             }
         }
+        self.held_cost = ahead;
         for id in hopeless {
             self.too_late(id, false);
         }
@@ -851,7 +855,8 @@
             return self.set.hold_off;
         }
         let spread = 0.5 + self.chance.unit();
-        (self.period * (2.0 * spread)).min(self.set.hold_off)
+        let line = self.held_cost / f64::from(self.set.cores) + self.unread;
+        (Span::from_secs(line) * spread).max(self.period).min(self.set.hold_off)
     }
 
     // --- The difference between what is wanted and what the host was told ---
