--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,8 +49,10 @@
 /// Tasks that lay unread for this share of the mean due time take all credit.
 const UNREAD_SHARE: f64 = 0.25;
 /// Unread for this share of the mean due time, a node leaves the callers' lists; at the other it comes back.
-const STALE: f64 = 0.6;
+const STALE: f64 = 0.3;
 const FRESH_AGAIN: f64 = 0.1;
+/// It does so by chance within about this share of the mean due time.
+const LEAVE_WITHIN: f64 = 0.3;
 /// What one arrival moves the time that tasks lie unread.
 const UNREAD_GAIN: f64 = 1.0 / 8.0;
 /// How fast the shares of the callers are forgotten, for each arrival.
@@ -627,7 +629,7 @@
         if self.stale {
             self.stale = self.unread > due * FRESH_AGAIN;
         } else {
-            self.stale = self.unread > due * STALE && chance < self.period.secs() / due;
+            self.stale = self.unread > due * STALE && chance < self.period.secs() / (due * LEAVE_WITHIN);
         }
     }
 
