Learn the throughput from ended runs: the demand of one task a core

The learned throughput had stayed at zero but for the idle-room exception, so only the floor of the set acted; the design wants it learned from runs.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,8 +29,6 @@
 const REFUSE_AT: f64 = 0.8;
 /// Below this share of busy cores there is idle room.
 const IDLE: f64 = 0.92;
-/// What a period of full cores takes off the learned throughput.
-const CAPACITY_FADE: f64 = 0.02;
 /// The span over which the core gauge is averaged, as the interface has it.
 const GAUGE_SPAN: Span = Span::from_millis(500);
 /// A failed call cuts the window of calls to this share.
@@ -574,6 +572,17 @@
         }
         if measured {
             self.learn_cost(id);
+            self.learn_throughput(self.task(id).expect("inside").demand);
+        }
+    }
+
+    /// Learns the throughput from a run that ended while the cores were full: the demand of as many tasks as
+    /// have a core each, of the kind that runs now. It falls and rises with what the cores get done.
+    fn learn_throughput(&mut self, demand: f64) {
+        let cores = f64::from(self.set.cores);
+        let (set, tasks) = (self.load.demand + demand, self.load.on_cores + 1.0);
+        if tasks >= cores {
+            self.throughput += (set * cores / tasks - self.throughput) * COST_GAIN;
         }
     }
 
@@ -604,8 +613,6 @@
         if busy < IDLE && self.now - since > GAUGE_SPAN {
             self.use_idle_room();
             self.full_since = Some(self.now);
-        } else if busy >= IDLE {
-            self.throughput *= 1.0 - CAPACITY_FADE;
         }
     }
 
