--- a/crates/lynxtally-adapter/src/backend.rs
+++ b/crates/lynxtally-adapter/src/backend.rs
@@ -36,11 +36,7 @@
                 let outcome = call_outcome(status)?;
                 self.door.find(&xid).map(|task| Event::CallEnded(task, outcome))
             }
-            Incoming::Fired { stats, .. } => Some(Event::Timer(Gauges {
-                cores_busy: stats.cpu_busy,
-                runnable: stats.runnable,
-                memory: stats.mem_used,
-            })),
+            Incoming::Fired { stats, .. } => Some(Event::Timer(Gauges { cores_busy: stats.cpu_busy })),
             Incoming::Quiesce { kill, .. } => Some(Event::Drain(kill.instant())),
             Incoming::Frame { .. } | Incoming::Eob | Incoming::Init { .. } | Incoming::Retire { .. } => None,
         };
@@ -192,7 +188,6 @@
         cold_share: rules.cold_share,
         warm_after: rules.warm_after_ms.span(),
         crowd_limit: rules.fall_multiple,
-        crowd_over: rules.tip_after_ms.span(),
         drain_grace: rules.drain_grace_ms.span(),
         stages,
         quotas: orgs.iter().map(|org| org.quota_per_s).collect(),
@@ -210,11 +205,7 @@
             Some("tier") => Below::Tier,
             _ => Below::Nothing,
         },
-        stopping: match own.stop_mode.as_deref() {
-            Some("drop") => Stopping::Drop,
-            Some("pause") => Stopping::Pause,
-            _ => Stopping::Never,
-        },
+        stoppable: matches!(own.stop_mode.as_deref(), Some("drop" | "pause")),
         free_value: match own.say.as_deref() {
             Some("level") => FreeValue::Level,
             Some("credit") => FreeValue::Credit,
@@ -223,7 +214,6 @@
         },
         heeded: own.heeded_ms.span(),
         share_for: own.share_for_ms.span(),
-        idle_after: own.idle_ms.span(),
         hold_off: allowed.filter(|a| a.retry_after).map_or(Span::ZERO, |a| a.max_retry_after_ms.span()),
     })
 }
--- a/crates/lynxtally-adapter/src/wire.rs
+++ b/crates/lynxtally-adapter/src/wire.rs
@@ -23,12 +23,24 @@
     span.micros() as f64 / 1000.0
 }
 
+/// The number that stands where there is no name.
+#[derive(Debug, Deserialize)]
+#[serde(try_from = "u64")]
+pub struct Zero;
+
+impl TryFrom<u64> for Zero {
+    type Error = String;
+    fn try_from(number: u64) -> Result<Self, String> {
+        (number == 0).then_some(Self).ok_or_else(|| format!("{number} is no name"))
+    }
+}
+
 /// A name, or 0 where there is none.
 #[derive(Debug, Deserialize)]
 #[serde(untagged)]
 pub enum Name {
     Given(String),
-    None(u64),
+    None(Zero),
 }
 
 impl Name {
@@ -132,8 +144,6 @@
 #[derive(Debug, Default, Deserialize)]
 pub struct Stats {
     pub cpu_busy: Option<f64>,
-    pub runnable: Option<f64>,
-    pub mem_used: Option<f64>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -201,7 +211,6 @@
     pub cold_share: f64,
     pub drain_grace_ms: Millis,
     pub fall_multiple: f64,
-    pub tip_after_ms: Millis,
     pub warm_after_ms: Millis,
 }
 
@@ -224,8 +233,6 @@
     #[serde(default)]
     pub heeded_ms: Millis,
     #[serde(default)]
-    pub idle_ms: Millis,
-    #[serde(default)]
     pub kb_per_key: f64,
     #[serde(default)]
     pub linger_ms: Millis,
@@ -251,7 +258,6 @@
     Forget { i: u64, xid: &'a str },
     Readiness { i: u64, on: bool, cheap: bool },
     Advertise { i: u64, x: f64 },
-    Idle { i: u64, hold_for_ms: f64 },
     Timer { i: u64, mark: u64, from_now_ms: f64 },
     Print { i: u64, msg: &'a str },
     InternalError { i: u64, msg: &'a str },
@@ -284,7 +290,6 @@
         Some(match action {
             Health(on) => Self::Readiness { i, on: *on, cheap: true },
             Say(x) => Self::Advertise { i, x: *x },
-            CloseIdle(span) => Self::Idle { i, hold_for_ms: millis(*span) },
             Timer(span) => Self::Timer { i, mark: 0, from_now_ms: millis(*span) },
             Log(msg) => Self::Print { i, msg },
             _ => return None,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -7,9 +7,10 @@
 pub struct TaskId(pub u32);
 
 /// What may happen when a stage's task runs twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     /// It may run again.
+    #[default]
     Restartable,
     /// It carries a mark by which a repeat is known; it runs once on a backend.
     Fingerprinted,
@@ -56,17 +57,6 @@
     Tier,
 }
 
-/// Whether running work can be stopped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stopping {
-    /// It can't.
-    Never,
-    /// It falls back into the hold and its work is lost.
-    Drop,
-    /// It pauses, keeping its progress and memory.
-    Pause,
-}
-
 /// What callers take the free value to mean.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FreeValue {
@@ -99,8 +89,6 @@
     pub warm_after: Span,
     /// How many running tasks a core a warm backend survives.
     pub crowd_limit: f64,
-    /// The span over which those are averaged.
-    pub crowd_over: Span,
     /// What arrives later than this after the notice to leave must not be run.
     pub drain_grace: Span,
     /// The stages; a task names one by its index.
@@ -120,15 +108,13 @@
     /// What the tasks call.
     pub below: Below,
     /// Whether running work can be stopped.
-    pub stopping: Stopping,
+    pub stoppable: bool,
     /// The meaning of the free value.
     pub free_value: FreeValue,
     /// How long callers remember it.
     pub heeded: Span,
     /// How long a read's answer may serve other tasks; zero means never.
     pub share_for: Span,
-    /// After this time callers close idle connections.
-    pub idle_after: Span,
     /// The longest advice to stay away that callers follow; zero where none is passed on.
     pub hold_off: Span,
 }
@@ -198,10 +184,6 @@
 pub struct Gauges {
     /// The share of the cores that was busy over the last half second.
     pub cores_busy: Option<f64>,
-    /// All that wants a core right now.
-    pub runnable: Option<f64>,
-    /// The share of the memory in use.
-    pub memory: Option<f64>,
 }
 
 /// What happened.
@@ -260,8 +242,6 @@
     Health(bool),
     /// Set the free value.
     Say(f64),
-    /// Close connections idle for so long.
-    CloseIdle(Span),
     /// Set the one timer.
     Timer(Span),
     /// A line for the log.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,7 +24,6 @@
 //!     cold_share: 0.2,
 //!     warm_after: Span::from_millis(10_000),
 //!     crowd_limit: 6.0,
-//!     crowd_over: Span::from_millis(2000),
 //!     drain_grace: Span::from_millis(1000),
 //!     stages: vec![stage],
 //!     quotas: vec![],
@@ -34,11 +33,10 @@
 //!     callers: 2,
 //!     depth: 0,
 //!     below: Below::Nothing,
-//!     stopping: Stopping::Never,
+//!     stoppable: false,
 //!     free_value: FreeValue::Silent,
 //!     heeded: Span::from_millis(1000),
 //!     share_for: Span::ZERO,
-//!     idle_after: Span::from_millis(30_000),
 //!     hold_off: Span::from_millis(1000),
 //! };
 //! let (mut door, mut actions) = (Door::default(), Vec::new());
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,10 +1,10 @@
 //! All decisions of lynxtally. A host makes one `Policy` for a backend, tells it with `on` each thing that
-//! happens, and after the events of one moment calls `settle`, which fills in what the host shall do.
+//! happens, and after the events of one moment calls `settle`, which adds what the host shall do.
 //! The interface (`Settings`, `Event`, `Action`) is in `interface.rs`, time in `time.rs`, chance in `pcg.rs`.
 //!
 //! The selection is SLICE's (docs/design.md): held tasks stand in the order of utility over demand, and the
-//! highest start until one no longer fits under the learned throughput. Tasks change `place` when something is
-//! decided; `emit` works out the difference between what is wanted and what the host was told.
+//! highest start until one no longer fits under the learned throughput. Decisions set where a task is wanted;
+//! `emit` works out the difference to what the host was told.
 
 use crate::interface::*;
 use crate::pcg::Pcg;
@@ -19,79 +19,74 @@
 const CEILING: f64 = 0.85;
 /// The part of the shared dependency's survivable calls that is used at most, in the mean.
 const CALLS_CEILING: f64 = 0.8;
-/// What one finished run moves a stage's expected cost.
-const COST_GAIN: f64 = 1.0 / 16.0;
+/// What one ended run moves the learned cost and throughput.
+const GAIN: f64 = 1.0 / 16.0;
 /// A run counts for at most this many times what was expected, so that few huge ones can't fool the mean.
 const COST_CLIP: f64 = 4.0;
 /// A cost not seen yet is taken for this share of the due time.
 const COST_UNSEEN: f64 = 1.0 / 8.0;
 /// A held task is given up when less than this share of its expected stay is left before it is due.
 const REFUSE_AT: f64 = 0.8;
-/// Below this share of busy cores there is idle room.
+/// Below this share of busy cores there is idle room; the gauge looks back over that span.
 const IDLE: f64 = 0.92;
-/// The span over which the core gauge is averaged, as the interface has it.
 const GAUGE_SPAN: Span = Span::from_millis(500);
-/// A failed call cuts the window of calls to this share.
+/// Crowding below cuts the window of calls to this share.
 const WINDOW_CUT: f64 = 0.7;
-/// A call that failed after this many times the usual time counts as crowding below.
+/// A call that failed after this many times the usual time counts as crowding.
 const CALL_SLOW: f64 = 4.0;
 /// Tries of one call at most.
 const CALL_TRIES: u32 = 3;
-/// A customer's allowance, in seconds of its part of the quota.
+/// A customer's allowance, in seconds of this backend's part of the quota.
 const ALLOWANCE_SECS: f64 = 2.0;
-/// Part of the due time that the tasks let in by credit may spend here, all in all.
-const CREDIT_STAY: f64 = 0.6;
-/// A caller that is itself a backend has spent part of the due time and wants its own share of the rest: so
-/// much of it is left for each tier that stands above.
+/// Part of the shortest due time that the tasks let in by the free value may spend here.
+const FREE_STAY: f64 = 0.6;
+/// A caller that is itself a backend has spent part of the due time: this share is left for each tier below.
 const TIER_SHARE: f64 = 1.0 / 3.0;
 /// Tasks that lay unread for this share of the mean due time take all credit.
 const UNREAD_SHARE: f64 = 0.25;
-/// Unread for this share of the mean due time, a node leaves the callers' lists; at the other it comes back.
+/// Unread for this share of the mean due time, a node leaves the callers' lists, by chance within about
+/// `LEAVE_WITHIN` of it; at `FRESH_AGAIN` it comes back.
 const STALE: f64 = 0.3;
-const FRESH_AGAIN: f64 = 0.1;
-/// It does so by chance within about this share of the mean due time.
 const LEAVE_WITHIN: f64 = 0.3;
-/// What one arrival moves the time that tasks lie unread.
+const FRESH_AGAIN: f64 = 0.1;
+/// What one arrival moves the unread time, and the callers' shares.
 const UNREAD_GAIN: f64 = 1.0 / 8.0;
-/// How fast the shares of the callers are forgotten, for each arrival.
-const CALLER_FADE: f64 = 0.98;
+const CALLER_GAIN: f64 = 1.0 / 50.0;
 
 /// Where a task is, or is wanted to be.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Place {
-    /// In the hold.
     Held,
-    /// Running on the cores.
     OnCores,
     /// At a call that was not let go yet.
     Standing,
-    /// Its call is out.
     Calling,
-    /// Its call is left out; it goes back to the cores.
-    Skipping,
     /// Waiting for the result of the task that it repeats.
     Reusing,
-    /// Answered, but still using running memory until the run ends.
+    /// Answered and off the cores, but using running memory until the run's end is heard of.
     Ending,
-    /// Over.
+    #[default]
     Over,
 }
 
-/// The final answer that the module gives itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// The final answers that the module gives itself.
+#[derive(Clone, Copy)]
 enum Answer {
     Rejected { terminal: bool },
     Abandoned,
 }
 
+#[derive(Default)]
 struct Task {
     stage: usize,
     effect: Effect,
-    customer: Option<usize>,
-    /// Until when an answer earns what the rate says.
+    /// The customer whose allowance it took from.
+    charged: Option<usize>,
+    /// Until when an answer earns what the rate says, and until when one is owed.
     wanted: Instant,
     limit: Instant,
     kb: f64,
+    /// What its cost is measured by: the hint, or 1.
     basis: f64,
     rate: f64,
     demand: f64,
@@ -100,11 +95,10 @@
     answer: Option<Answer>,
     owed: bool,
     ran: bool,
+    /// Core time had so far, in seconds; while it is on the cores, less the clock of its landing there.
     worked: f64,
-    work_from: f64,
     began: Instant,
-    called_at: Instant,
-    call_for: Span,
+    called: Instant,
     call_tries: u32,
     look: Instant,
     kept_until: Option<Instant>,
@@ -117,25 +111,17 @@
     kb: f64,
     demand: f64,
     on_cores: f64,
+    /// Started and not ended.
     out: f64,
     calling: f64,
 }
 
-/// What is learned of a stage.
+/// What is learned of a stage: core time and waits of a run, in seconds, and the basis of that cost.
 struct Row {
-    /// Core time of a run on this machine, in seconds, and what it is measured against.
     cost: f64,
     basis: f64,
-    seen: bool,
-    /// Time a run spends at calls, in seconds.
     waits: f64,
-}
-
-/// What is wanted beside the tasks, and what the host was last told.
-#[derive(Clone, Copy, PartialEq)]
-struct Outward {
-    health: bool,
-    free: Option<f64>,
+    seen: bool,
 }
 
 /// The decisions of one backend.
@@ -144,39 +130,43 @@
     chance: Pcg,
     now: Instant,
     started: Instant,
+    cores: f64,
     period: Span,
+    mean_due: f64,
     tasks: Vec<Option<Task>>,
-    /// Held tasks, the highest rate first.
+    /// Held tasks and those standing at a call, the highest rate first.
     hold: BTreeSet<(u64, TaskId)>,
-    /// Tasks standing at a call, the highest rate first.
     standing: BTreeSet<(u64, TaskId)>,
     /// When to look at a task again.
     timed: BTreeSet<(Instant, TaskId)>,
     changed: Vec<TaskId>,
     rows: Vec<Row>,
     allowances: Vec<f64>,
+    /// The callers' shares of late arrivals.
     callers: Vec<(u64, f64)>,
     load: Load,
-    /// Core time that one running task has had so far, in seconds.
+    /// Core time that a task running since the start would have had, in seconds.
     clock: f64,
     /// Calls in hand, averaged over the dependency's span.
     calls_mean: f64,
-    /// How long tasks lie unread lately, in seconds.
-    unread: f64,
-    /// Expected core time of all that is held, in seconds.
-    held_cost: f64,
-    /// Whether what is read is too old to be answered in time, so that callers hear no advice either.
-    stale: bool,
-    /// Summed demand that the cores have been seen to carry.
+    /// Summed demand that the cores are known to carry.
     throughput: f64,
+    /// Since when the set has been full.
+    full_since: Option<Instant>,
+    /// Bound of the calls in hand, its last cut, and the usual time of a call in seconds.
     window: f64,
-    window_cut_at: Instant,
-    /// Usual time of a call that succeeds, in seconds.
+    window_cut: Instant,
     call_time: f64,
-    full_since: Option<Instant>,
+    /// Expected core time of all that is held, in seconds.
+    held_cost: f64,
+    /// How long tasks lie unread lately, in seconds, and whether that is too long to be on the list.
+    unread: f64,
+    stale: bool,
+    /// Leaving: what arrives after the first point is not run; the kill comes at the second.
     kill: Option<(Instant, Instant)>,
-    told: Option<Outward>,
-    arm: bool,
+    /// Health and free value as the host was last told; whether the timer has to be set again.
+    told: (Option<bool>, Option<f64>),
+    timer_wanted: bool,
     logs: Vec<String>,
 }
 
@@ -189,40 +179,37 @@
     /// A backend that starts now and knows only its settings.
     pub fn new(set: Settings, seed: u64, now: Instant) -> Self {
         let shortest = set.stages.iter().map(|s| s.due).min().unwrap_or(Span::from_millis(1000));
-        let rows = set.stages.iter().map(|s| Row {
-            cost: s.due.secs() * COST_UNSEEN,
-            basis: 1.0,
-            seen: false,
-            waits: 0.0,
-        });
-        let cores = f64::from(set.cores);
+        let row =
+            |s: &StageSettings| Row { cost: s.due.secs() * COST_UNSEEN, basis: 1.0, waits: 0.0, seen: false };
         Self {
             chance: Pcg::new(seed),
             now,
             started: now,
+            cores: f64::from(set.cores),
             period: (shortest * PERIOD).max(Span::from_millis(5)),
+            mean_due: set.stages.iter().map(|s| s.due.secs()).sum::<f64>() / set.stages.len().max(1) as f64,
             tasks: Vec::new(),
             hold: BTreeSet::new(),
             standing: BTreeSet::new(),
             timed: BTreeSet::new(),
             changed: Vec::new(),
-            rows: rows.collect(),
-            allowances: set.quotas.iter().map(|_| 0.0).collect(),
+            rows: set.stages.iter().map(row).collect(),
+            allowances: vec![0.0; set.quotas.len()],
             callers: Vec::new(),
             load: Load::default(),
             clock: 0.0,
             calls_mean: 0.0,
-            unread: 0.0,
-            held_cost: 0.0,
-            stale: false,
             throughput: 0.0,
-            window: cores,
-            window_cut_at: now,
-            call_time: 0.0,
             full_since: None,
+            window: f64::from(set.cores),
+            window_cut: now,
+            call_time: 0.0,
+            held_cost: 0.0,
+            unread: 0.0,
+            stale: false,
             kill: None,
-            told: None,
-            arm: true,
+            told: (None, None),
+            timer_wanted: true,
             logs: Vec::new(),
             set,
         }
@@ -233,51 +220,46 @@
         self.advance(now);
         match event {
             Event::Arrived(arrival) => self.arrived(arrival),
-            Event::CallerGone(id) => self.caller_gone(id),
-            Event::AtCall(id) => {
-                if self.task(id).is_some() {
-                    self.put(id, Place::Standing);
-                    self.settle_told(id);
-                }
-            }
-            Event::CallEnded(id, outcome) => self.call_ended(id, outcome),
-            Event::RunEnded(id, outcome) => self.run_ended(id, outcome),
+            Event::CallerGone(id) if self.task(id).is_some() => self.caller_gone(id),
+            Event::AtCall(id) if self.task(id).is_some() => self.moved(id, Place::Standing),
+            Event::CallEnded(id, outcome) if self.task(id).is_some() => self.call_ended(id, outcome),
+            Event::RunEnded(id, outcome) if self.task(id).is_some() => self.run_ended(id, outcome),
             Event::Timer(gauges) => self.timer(gauges),
             Event::Drain(kill) => self.drain(kill),
+            // The end of something that is over already.
+            _ => {}
         }
     }
 
-    /// Decides, and appends what the host shall do.
+    /// Decides, and adds what the host shall do.
     pub fn settle(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.advance(now);
         self.select();
-        while let Some(&(at, id)) = self.timed.first() {
-            if at > now {
-                break;
-            }
+        while let Some(&(_, id)) = self.timed.first().filter(|(at, _)| *at <= now) {
             self.timed.pop_first();
             self.look(id);
         }
+        self.judge_line();
         self.let_calls_go();
         self.emit(actions);
     }
 
+    // --- Accounts ---
+
     fn task(&self, id: TaskId) -> Option<&Task> {
         self.tasks.get(id.0 as usize)?.as_ref()
     }
 
-    fn task_mut(&mut self, id: TaskId) -> &mut Task {
+    /// A task that is known to be inside.
+    fn inside(&mut self, id: TaskId) -> &mut Task {
         self.tasks[id.0 as usize].as_mut().expect("a task that is inside")
     }
 
-    /// Runs the clocks on: what a task on the cores has had, and the mean number of calls in hand.
+    /// Runs on what depends on time alone.
     fn advance(&mut self, now: Instant) {
         let past = (now - self.now).secs();
-        if past <= 0.0 {
-            return;
-        }
-        let cores = f64::from(self.set.cores);
-        self.clock += past * (cores / self.load.on_cores.max(1.0)).min(1.0);
+        self.now = self.now.max(now);
+        self.clock += past * (self.cores / self.load.on_cores.max(1.0)).min(1.0);
         if let Below::Shared { over, .. } = self.set.below {
             let keep = (-past / over.secs().max(1e-3)).exp();
             self.calls_mean = self.calls_mean * keep + self.load.calling * (1.0 - keep);
@@ -287,116 +269,107 @@
             *have = (*have + part * past).min(part * ALLOWANCE_SECS);
         }
         self.unread *= (-past / self.set.heeded.secs().max(1e-3)).exp();
-        self.now = now;
     }
 
-    /// What a task uses where it is.
+    /// What a task uses where it is wanted. Answered work that can't be stopped still counts on the cores.
     fn weight(&self, id: TaskId) -> Load {
-        let Some(task) = self.task(id) else { return Load::default() };
-        let running = task.kb * self.set.run_memory;
+        let task = self.task(id).expect("a task that is inside");
         let key = if task.kept_until.is_some() { self.set.key_kb } else { 0.0 };
-        let mut load = Load { kb: key, ..Load::default() };
+        let running = Load { kb: key + task.kb * self.set.run_memory, out: 1.0, ..Load::default() };
         match task.place {
-            Place::Held => load.kb += task.kb,
-            Place::OnCores | Place::Skipping => {
-                load = Load { kb: key + running, demand: task.demand, on_cores: 1.0, out: 1.0, calling: 0.0 }
-            }
-            Place::Reusing => load = Load { kb: key + running, on_cores: 1.0, out: 1.0, ..load },
-            Place::Standing | Place::Ending => load = Load { kb: key + running, out: 1.0, ..load },
-            Place::Calling => load = Load { kb: key + running, out: 1.0, calling: 1.0, ..load },
-            Place::Over => {}
+            Place::Held => Load { kb: key + task.kb, ..Load::default() },
+            Place::OnCores => Load { demand: task.demand, on_cores: 1.0, ..running },
+            Place::Reusing => Load { on_cores: 1.0, ..running },
+            Place::Standing | Place::Ending => running,
+            Place::Calling => Load { calling: 1.0, ..running },
+            Place::Over => Load { kb: key, ..Load::default() },
         }
-        load
     }
 
+    /// Changes a task and keeps the load in step.
     fn reweigh(&mut self, id: TaskId, change: impl FnOnce(&mut Task)) {
         let before = self.weight(id);
-        change(self.task_mut(id));
+        change(self.inside(id));
         let after = self.weight(id);
         self.load.kb += after.kb - before.kb;
         self.load.demand += after.demand - before.demand;
         self.load.on_cores += after.on_cores - before.on_cores;
         self.load.out += after.out - before.out;
         self.load.calling += after.calling - before.calling;
-        if self.load.out < 0.5 {
-            (self.load.demand, self.load.on_cores, self.load.calling) = (0.0, 0.0, 0.0);
-        }
+        self.load.demand *= f64::from(u8::from(self.load.on_cores > 0.0));
     }
 
-    /// Moves a task to its wanted place and keeps the accounts; `emit` tells the host.
+    /// Sets where a task is wanted; `emit` tells the host.
     fn put(&mut self, id: TaskId, place: Place) {
         let clock = self.clock;
-        let task = self.task_mut(id);
-        let (rate, was) = (task.rate, task.place);
-        if was == place {
+        let task = self.inside(id);
+        if task.place == place {
             return;
         }
-        if matches!(was, Place::OnCores | Place::Skipping) {
-            task.worked += clock - task.work_from;
+        if task.place == Place::OnCores {
+            task.worked += clock;
+        } else if place == Place::OnCores {
+            task.worked -= clock;
         }
-        if matches!(place, Place::OnCores | Place::Skipping) {
-            task.work_from = clock;
-        }
-        self.hold.remove(&(order(rate), id));
-        self.standing.remove(&(order(rate), id));
-        match place {
-            Place::Held => drop(self.hold.insert((order(rate), id))),
-            Place::Standing => drop(self.standing.insert((order(rate), id))),
-            _ => {}
+        let key = (order(task.rate), id);
+        self.hold.remove(&key);
+        self.standing.remove(&key);
+        if place == Place::Held {
+            self.hold.insert(key);
+        } else if place == Place::Standing {
+            self.standing.insert(key);
         }
         self.reweigh(id, |task| task.place = place);
         self.changed.push(id);
     }
 
-    /// The host knows already where the task is: the event said so.
-    fn settle_told(&mut self, id: TaskId) {
-        let task = self.task_mut(id);
-        task.told = task.place;
+    /// Notes a task where the host has put it already.
+    fn moved(&mut self, id: TaskId, place: Place) {
+        self.put(id, place);
+        self.inside(id).told = place;
     }
 
     /// Sets when to look at a task again.
     fn look_at(&mut self, id: TaskId, at: Instant) {
-        let task = self.task_mut(id);
-        let before = std::mem::replace(&mut task.look, at);
+        let before = std::mem::replace(&mut self.inside(id).look, at);
         self.timed.remove(&(before, id));
         self.timed.insert((at, id));
     }
 
-    // --- What a task is worth, what it costs, and when it is too late ---
+    // --- What a task costs, when it is too late, what is survived ---
 
     /// Expected core time on this machine, in seconds.
     fn cost(&self, stage: usize, basis: f64) -> f64 {
-        let row = &self.rows[stage];
-        basis * row.cost / row.basis
+        basis * self.rows[stage].cost / self.rows[stage].basis
     }
 
-    /// Expected time to the end for a held task that starts now, in a crowd one larger.
-    fn stay(&self, task: &Task) -> Span {
-        let crowd = ((self.load.on_cores + 1.0) / f64::from(self.set.cores)).max(1.0);
-        Span::from_secs(self.cost(task.stage, task.basis) * crowd + self.rows[task.stage].waits)
-    }
-
-    /// The point of refusal: later than this, a held task that starts is not expected to be in time.
+    /// The point of refusal: a held task that starts later than this is not expected to be in time.
     fn refuse_at(&self, task: &Task) -> Instant {
-        task.wanted - self.stay(task) * REFUSE_AT
+        let crowd = ((self.load.on_cores + 1.0) / self.cores).max(1.0);
+        let stay = self.cost(task.stage, task.basis) * crowd + self.rows[task.stage].waits;
+        task.wanted - Span::from_secs(stay * REFUSE_AT)
     }
 
-    /// Whether the demand of one more task fits under the learned throughput.
+    /// Whether the demand of one more task fits under the learned throughput; the cores bound it from below.
     fn fits(&self, demand: f64) -> bool {
-        self.load.demand + demand <= self.throughput || self.load.on_cores < f64::from(self.set.cores)
+        self.load.demand + demand <= self.throughput || self.load.on_cores < self.cores
     }
 
-    /// The largest crowd that this backend survives, less while it is cold.
-    fn survivable(&self) -> f64 {
+    /// The fourth rule: memory, and the crowd on the cores if all calls returned at once; less while cold.
+    fn survives(&self, kb: f64) -> bool {
         let age = (self.now - self.started) / self.set.warm_after;
         let warm = if self.set.cold { (self.set.cold_share * (1.0 - age) + age).min(1.0) } else { 1.0 };
-        (1.0 + (self.set.crowd_limit - 1.0) * warm) * f64::from(self.set.cores) * CEILING
+        let crowd = (1.0 + (self.set.crowd_limit - 1.0) * warm) * self.cores;
+        let more = kb * (self.set.run_memory - 1.0);
+        self.load.kb + more <= self.set.memory_kb * CEILING && self.load.out + 1.0 <= crowd * CEILING
     }
 
-    /// Memory and crowd: whether one more running task is survived.
-    fn survives(&self, kb: f64) -> bool {
-        let more = kb * (self.set.run_memory - 1.0);
-        self.load.kb + more <= self.set.memory_kb * CEILING && self.load.out + 1.0 <= self.survivable()
+    /// How long a call may take so that the rest of the run is still in time.
+    fn call_room(&self, task: &Task) -> Span {
+        let rest = (self.cost(task.stage, task.basis) - task.worked).max(0.0);
+        let late = self.set.stages[task.stage].late_part > 0.0;
+        let until = if late { task.limit } else { task.wanted };
+        until - self.now - Span::from_secs(rest)
     }
 
     // --- Events ---
@@ -414,76 +387,60 @@
         if arrival.hint.is_some() && !row.seen {
             (row.cost, row.basis) = (basis, basis);
         }
+        let demand = (self.cost(arrival.stage, basis) / stage.due.secs().max(1e-3)).max(1e-9);
         let mut utility = stage.utility * if self.set.by_work { basis } else { 1.0 };
-        if let Some(have) = arrival.customer.and_then(|c| self.allowances.get_mut(c)) {
-            if *have < 1.0 {
-                utility *= self.set.over_share;
-            } else {
-                *have -= 1.0;
-            }
+        let charged = arrival.customer.filter(|&c| self.allowances[c] >= 1.0);
+        match charged {
+            Some(c) => self.allowances[c] -= 1.0,
+            None if arrival.customer.is_some() => utility *= self.set.over_share,
+            None => {}
         }
         let due = came + stage.due * TIER_SHARE.powi(self.set.depth as i32);
-        let demand = self.cost(arrival.stage, basis) / stage.due.secs().max(1e-3);
-        let (effect, keep_for) = (stage.effect, stage.repeat_window);
-        let task = Task {
+        let (effect, window) = (stage.effect, stage.repeat_window);
+        let id = arrival.task;
+        if self.tasks.len() <= id.0 as usize {
+            self.tasks.resize_with(id.0 as usize + 1, || None);
+        }
+        self.tasks[id.0 as usize] = Some(Task {
             stage: arrival.stage,
             effect,
-            customer: arrival.customer,
+            charged,
             wanted: due.min(limit),
             limit,
             kb: arrival.kb,
             basis,
-            rate: utility / demand.max(1e-9) * (1.0 + arrival.place * 1e-6),
+            rate: utility / demand * (1.0 + arrival.place * 1e-6),
             demand,
-            place: Place::Over,
             told: Place::Held,
-            answer: None,
             owed: true,
-            ran: false,
-            worked: 0.0,
-            work_from: 0.0,
-            began: self.now,
-            called_at: self.now,
-            call_for: Span::ZERO,
-            call_tries: 0,
             look: limit,
-            kept_until: None,
-            key_told: false,
-        };
-        let id = arrival.task;
-        let index = id.0 as usize;
-        if self.tasks.len() <= index {
-            self.tasks.resize_with(index + 1, || None);
-        }
-        self.tasks[index] = Some(task);
+            ..Task::default()
+        });
         self.put(id, Place::Held);
         self.note_caller(arrival.caller);
         self.unread += (arrival.unread.secs() - self.unread) * UNREAD_GAIN;
         if self.kill.is_some_and(|(grace, _)| came >= grace) {
             return self.end(id, Answer::Rejected { terminal: false });
         }
+        // An effect that may have happened is answered from its first run, never run again or rejected.
         let again = match arrival.repeat {
             Repeat::No => false,
             Repeat::OfReleased => true,
-            Repeat::Of(first) => {
-                effect == Effect::Restartable
-                    || self.task(first).is_some_and(|t| t.ran || t.place != Place::Over)
-            }
+            Repeat::Of(_) if effect == Effect::Restartable => true,
+            Repeat::Of(first) => self.task(first).is_some_and(|t| t.ran || t.place != Place::Over),
         };
         if again {
-            // An effect that may have happened is answered from its first run, never run again or rejected.
-            self.task_mut(id).ran = true;
+            self.inside(id).ran = true;
             self.put(id, Place::Reusing);
-            self.look_at(id, limit);
-            return;
+            return self.look_at(id, limit);
         }
         let shared = effect == Effect::Restartable && arrival.shareable && self.set.share_for > Span::ZERO;
         if effect == Effect::Fingerprinted || shared {
-            let keep = if shared { self.set.share_for } else { keep_for + early };
+            let until = came + if shared { self.set.share_for } else { window + early };
             if self.load.kb + self.set.key_kb <= self.set.memory_kb * CEILING {
-                let until = came + keep;
                 self.reweigh(id, |task| task.kept_until = Some(until));
             } else if !shared {
+                // Without its key a repeat would look new, and both could run.
                 return self.end(id, Answer::Rejected { terminal: false });
             }
         }
@@ -492,125 +449,88 @@
     }
 
     fn caller_gone(&mut self, id: TaskId) {
-        let Some(task) = self.task(id) else { return };
-        let place = task.place;
-        self.task_mut(id).owed = false;
-        match place {
-            Place::Held | Place::Reusing => {
-                self.put(id, Place::Over);
-                self.settle_told(id);
-            }
-            Place::Standing => self.put(id, Place::Ending),
+        let task = self.inside(id);
+        task.owed = false;
+        match task.place {
+            Place::Held | Place::Reusing => self.moved(id, Place::Over),
+            Place::Standing => self.moved(id, Place::Ending),
             _ => {}
         }
-        if self.task(id).is_some_and(|t| t.place == Place::Ending) {
-            self.settle_told(id);
-        }
     }
 
     fn call_ended(&mut self, id: TaskId, outcome: CallOutcome) {
-        let Some(task) = self.task(id) else { return };
+        let now = self.now;
+        let task = self.inside(id);
         if task.place != Place::Calling {
             return;
         }
-        let took = self.now - task.called_at;
-        let owed = task.owed;
+        task.call_tries += 1;
+        let (took, owed, tries) = (now - task.called, task.owed, task.call_tries);
+        let again = task.effect == Effect::Restartable || outcome == CallOutcome::NeverRan;
         if outcome == CallOutcome::Ok {
-            self.window += 1.0 / self.window.max(1.0);
-            self.call_time += (took.secs() - self.call_time) * COST_GAIN;
-            self.put(id, Place::OnCores);
-            return self.settle_told(id);
+            self.window += 1.0 / self.window;
+            self.call_time += (took.secs() - self.call_time) * GAIN;
+            return self.moved(id, Place::OnCores);
         }
         // A time-out that the task's own haste made short says nothing of what lies below.
-        let slow = took.secs() > self.call_time * CALL_SLOW;
-        if (slow || outcome == CallOutcome::NeverRan) && self.now - self.window_cut_at > took {
+        let crowded = outcome == CallOutcome::NeverRan || took.secs() > self.call_time * CALL_SLOW;
+        if crowded && now - self.window_cut > took {
             self.window = (self.window * WINDOW_CUT).max(1.0);
-            self.window_cut_at = self.now;
+            self.window_cut = now;
         }
-        if let Below::Shared { over, linger, .. } = self.set.below {
-            if outcome == CallOutcome::MayHaveRun {
-                self.calls_mean += linger / over;
-            }
+        if let (Below::Shared { over, linger, .. }, CallOutcome::MayHaveRun) = (self.set.below, outcome) {
+            self.calls_mean += linger / over;
         }
-        self.put(id, Place::Standing);
-        self.settle_told(id);
-        let task = self.task_mut(id);
-        task.call_tries += 1;
-        let again = task.effect == Effect::Restartable || outcome == CallOutcome::NeverRan;
-        if !owed {
-            self.put(id, Place::Ending);
-            self.settle_told(id);
-        } else if !again || task.call_tries >= CALL_TRIES {
+        self.moved(id, if owed { Place::Standing } else { Place::Ending });
+        if owed && (!again || tries >= CALL_TRIES) {
             self.leave_out(id);
         }
     }
 
-    /// A call that can't be had is left out where the stage allows it; else the task is settled.
-    fn leave_out(&mut self, id: TaskId) {
-        let stage = self.task(id).expect("a task at a call").stage;
-        if self.set.stages[stage].skip_part > 0.0 {
-            self.put(id, Place::Skipping);
-            let at = self.task(id).expect("inside").limit;
-            self.look_at(id, at);
-        } else {
-            self.end(id, Answer::Abandoned);
-        }
-    }
-
     fn run_ended(&mut self, id: TaskId, outcome: RunOutcome) {
-        let Some(task) = self.task(id) else { return };
-        if task.place == Place::Over {
-            return;
-        }
-        let measured = task.place == Place::OnCores && outcome == RunOutcome::Answered;
-        let owed = task.owed && outcome != RunOutcome::Answered;
-        self.put(id, Place::Over);
-        let task = self.task_mut(id);
-        (task.told, task.owed) = (Place::Over, owed);
+        let task = self.inside(id);
+        let answered = outcome == RunOutcome::Answered;
+        let measured = task.place == Place::OnCores && answered;
+        task.owed &= !answered;
+        let owed = task.owed;
+        self.moved(id, Place::Over);
         if owed {
             self.end(id, Answer::Abandoned);
         }
         if measured {
-            self.learn_cost(id);
-            self.learn_throughput(self.task(id).expect("inside").demand);
-        }
-    }
-
-    /// Learns the throughput from a run that ended while the cores were full: the demand of as many tasks as
-    /// have a core each, of the kind that runs now. It falls and rises with what the cores get done.
-    fn learn_throughput(&mut self, demand: f64) {
-        let cores = f64::from(self.set.cores);
-        let (set, tasks) = (self.load.demand + demand, self.load.on_cores + 1.0);
-        if tasks >= cores {
-            self.throughput += (set * cores / tasks - self.throughput) * COST_GAIN;
+            self.learn(id);
         }
     }
 
-    /// Learns what a run costs from one that ended; slow spells count in full, single huge runs do not.
-    fn learn_cost(&mut self, id: TaskId) {
+    /// Learns from a run that ended what its stage costs, with huge ones clipped, and, while the cores were
+    /// full, the throughput: the demand of as many tasks, of the kind that runs now, as have a core each.
+    /// Both fall and rise with what this machine gets done.
+    fn learn(&mut self, id: TaskId) {
         let task = self.task(id).expect("just ended");
-        let (stage, basis, worked) = (task.stage, task.basis, task.worked);
+        let (stage, basis, worked, demand) = (task.stage, task.basis, task.worked, task.demand);
         let waits = ((self.now - task.began).secs() - worked).max(0.0);
         let seen = worked.min(self.cost(stage, basis) * COST_CLIP);
         let row = &mut self.rows[stage];
-        let gain = if row.seen { COST_GAIN } else { 0.5 };
+        let gain = if row.seen { GAIN } else { 0.5 };
         row.cost += (seen - row.cost) * gain;
         row.basis += (basis - row.basis) * gain;
         row.waits += (waits - row.waits) * gain;
         row.seen = true;
+        let (set, tasks) = (self.load.demand + demand, self.load.on_cores + 1.0);
+        if tasks >= self.cores {
+            self.throughput += (set * self.cores / tasks - self.throughput) * GAIN;
+        }
     }
 
     fn timer(&mut self, gauges: Gauges) {
-        self.arm = true;
+        self.timer_wanted = true;
         self.judge_staleness();
-        let cores = f64::from(self.set.cores);
-        let busy = gauges.cores_busy.unwrap_or(1.0);
-        if self.load.on_cores < cores {
+        if self.load.on_cores < self.cores {
             self.full_since = None;
             return;
         }
         let since = *self.full_since.get_or_insert(self.now);
-        if busy < IDLE && self.now - since > GAUGE_SPAN {
+        if gauges.cores_busy.is_some_and(|busy| busy < IDLE) && self.now - since > GAUGE_SPAN {
             self.use_idle_room();
             self.full_since = Some(self.now);
         }
@@ -619,154 +539,85 @@
     /// The idle-room exception: the gauge shows free cores though the set is full, so the best held task
     /// starts without the fit test, and the learned throughput rises to what now runs.
     fn use_idle_room(&mut self) {
-        if let Some(&(_, id)) = self.hold.first() {
-            let kb = self.task(id).map_or(0.0, |t| t.kb);
-            if self.survives(kb) {
-                self.start(id);
-                self.throughput = self.throughput.max(self.load.demand);
-            }
+        let Some(&(_, id)) = self.hold.first() else { return };
+        if self.survives(self.task(id).expect("held").kb) {
+            self.start(id);
+            self.throughput = self.throughput.max(self.load.demand);
         }
     }
 
     /// Callers whose tries time out while they lie unread never hear the free value; only the list of servers
-    /// still reaches them. Each node leaves it by chance, so that one common cause does not take all at once.
+    /// still reaches them. A node that can only read what is stale leaves it, each by chance, so that one
+    /// common cause does not take all at once. Should catch any backlog; harms while no other node has room.
     fn judge_staleness(&mut self) {
-        let due = self.mean_due();
-        let chance = self.chance.unit();
-        if self.stale {
-            self.stale = self.unread > due * FRESH_AGAIN;
-        } else {
-            self.stale = self.unread > due * STALE && chance < self.period.secs() / (due * LEAVE_WITHIN);
+        let (was, chance) = (self.stale, self.chance.unit());
+        let leave = self.unread > self.mean_due * STALE;
+        let soon = chance < self.period.secs() / (self.mean_due * LEAVE_WITHIN);
+        self.stale = if was { self.unread > self.mean_due * FRESH_AGAIN } else { leave && soon };
+        if was != self.stale {
+            let what = if was { "back on the list" } else { "off the list" };
+            self.logs.push(format!("{what}: tasks lie unread for {:.0} ms", self.unread * 1e3));
         }
     }
 
-    fn mean_due(&self) -> f64 {
-        self.set.stages.iter().map(|s| s.due.secs()).sum::<f64>() / self.rows.len() as f64
-    }
-
     fn drain(&mut self, kill: Instant) {
         let early = self.period * ANSWER_EARLY;
         self.kill = Some((self.now + self.set.drain_grace - early, kill));
         let ids: Vec<TaskId> = self.timed.iter().map(|&(_, id)| id).collect();
-        let mut left = 0;
+        self.logs.push(format!("leaving: {:.0} tasks to answer", self.load.out + self.hold.len() as f64));
         for id in ids {
-            let task = self.task_mut(id);
+            let task = self.inside(id);
             if task.place != Place::Over {
                 task.limit = task.limit.min(kill - early);
+                task.wanted = task.wanted.min(task.limit);
                 let at = task.look.min(task.limit);
                 self.look_at(id, at);
-                left += 1;
             }
         }
-        self.logs.push(format!("leaving: {left} tasks to answer"));
     }
 
     // --- Decisions ---
 
-    /// Looks at a task whose time has come.
-    fn look(&mut self, id: TaskId) {
-        let Some(task) = self.task(id) else { return };
-        let (place, limit, kept) = (task.place, task.limit, task.kept_until);
-        let wanted = task.wanted;
-        if place == Place::Over {
-            if kept.is_some_and(|until| until <= self.now) {
-                self.reweigh(id, |task| task.kept_until = None);
-                self.changed.push(id);
-            }
-            return;
-        }
-        match place {
-            Place::Held => {
-                let at = self.refuse_at(self.task(id).expect("inside"));
-                if at <= self.now {
-                    return self.too_late(id, true);
-                }
-                self.look_at(id, at);
-            }
-            Place::Standing if self.now < wanted => self.leave_out(id),
-            Place::OnCores if self.set.stopping != Stopping::Never => self.end(id, Answer::Abandoned),
-            _ if self.now < limit => self.look_at(id, limit),
-            _ => self.end(id, Answer::Abandoned),
-        }
-    }
-
-    /// A held task can't meet its due time any more: it is rejected, or, where a late answer still earns a
-    /// part, goes on with a rate cut to that part until its time limit.
-    fn too_late(&mut self, id: TaskId, terminal: bool) {
-        let part = self.set.stages[self.task(id).expect("held").stage].late_part;
-        let task = self.task_mut(id);
-        if part <= 0.0 || task.wanted >= task.limit {
-            return self.end(id, Answer::Rejected { terminal });
-        }
-        let rate = task.rate;
-        (task.rate, task.wanted) = (rate * part, task.limit);
-        self.hold.remove(&(order(rate), id));
-        self.hold.insert((order(rate * part), id));
-        let at = self.refuse_at(self.task(id).expect("held"));
-        self.look_at(id, at.max(self.now));
-    }
-
-    /// Gives a task its final answer. What runs and can't be stopped goes on using the machine.
-    fn end(&mut self, id: TaskId, answer: Answer) {
-        let task = self.task_mut(id);
-        let ran = task.ran && task.effect != Effect::Restartable;
-        if task.owed && task.answer.is_none() {
-            task.answer = Some(if ran { Answer::Abandoned } else { answer });
-        }
-        let customer = task.customer;
-        let place = task.place;
-        self.changed.push(id);
-        match place {
-            Place::Held | Place::Reusing => {
-                if let Some(have) = customer.and_then(|c| self.allowances.get_mut(c)) {
-                    *have += 1.0;
-                }
-                self.put(id, Place::Over);
-                self.settle_told(id);
-            }
-            Place::Standing => {
-                self.put(id, Place::Ending);
-                self.settle_told(id);
-            }
-            Place::OnCores if self.set.stopping != Stopping::Never => self.put(id, Place::Ending),
-            _ => {}
-        }
-    }
-
     /// SLICE's greedy selection: the highest rate first, until one no longer fits.
     fn select(&mut self) {
         while let Some(&(_, id)) = self.hold.first() {
             let task = self.task(id).expect("held");
             // Where every held task finds a free core, a long shot costs nobody anything.
-            let free = self.load.on_cores + self.hold.len() as f64 <= f64::from(self.set.cores);
-            let late = if free { task.wanted } else { self.refuse_at(task) };
-            if late <= self.now {
+            let free = self.load.on_cores + self.hold.len() as f64 <= self.cores;
+            if self.now >= if free { task.wanted } else { self.refuse_at(task) } {
                 self.too_late(id, true);
                 continue;
             }
-            let jammed =
-                self.standing.len() as f64 >= f64::from(self.set.cores) && self.set.stages[task.stage].calls;
+            let jammed = self.standing.len() as f64 >= self.cores && self.set.stages[task.stage].calls;
             if jammed || !self.fits(task.demand) || !self.survives(task.kb) {
                 break;
             }
             self.start(id);
         }
-        self.judge_line();
-        // The hold itself has to fit: the lowest rates go first.
+        // The hold itself has to fit into memory: the lowest rates go first.
         while self.load.kb > self.set.memory_kb * CEILING {
             let Some(&(_, id)) = self.hold.last() else { break };
             self.end(id, Answer::Rejected { terminal: false });
         }
     }
 
+    fn start(&mut self, id: TaskId) {
+        self.put(id, Place::OnCores);
+        let (now, stoppable) = (self.now, self.set.stoppable);
+        let task = self.inside(id);
+        (task.ran, task.began) = (true, now);
+        let at = if stoppable { task.wanted } else { task.limit };
+        self.look_at(id, at);
+    }
+
     /// The refusal point sees the line too: what stands behind more work than can be done before its due time
-    /// is rejected now, while another backend may still be in time, and its caller hears the free value.
+    /// is rejected now, while another backend may be in time, and its caller hears the free value. Should
+    /// catch slow cores and backlogs of any cause; harms where the expected cost is too high.
     fn judge_line(&mut self) {
-        let cores = f64::from(self.set.cores);
         let (mut ahead, mut hopeless) = (0.0, Vec::new());
         for &(_, id) in &self.hold {
             let task = self.task(id).expect("held");
-            if self.now + Span::from_secs(ahead / cores) > self.refuse_at(task) {
+            if self.now + Span::from_secs(ahead / self.cores) > self.refuse_at(task) {
                 hopeless.push(id);
             } else {
                 ahead += self.cost(task.stage, task.basis);
@@ -778,170 +629,202 @@
         }
     }
 
-    fn start(&mut self, id: TaskId) {
-        self.put(id, Place::OnCores);
-        let (now, stoppable) = (self.now, self.set.stopping != Stopping::Never);
-        let task = self.task_mut(id);
-        (task.ran, task.began) = (true, now);
-        let task = self.task(id).expect("inside");
-        let at = if stoppable { task.wanted } else { task.limit };
-        self.look_at(id, at);
+    /// A held task can't meet its due time: it is rejected, or, where a late answer still earns a part, goes
+    /// on with a rate cut to that part until its time limit.
+    fn too_late(&mut self, id: TaskId, terminal: bool) {
+        let task = self.task(id).expect("held");
+        let part = self.set.stages[task.stage].late_part;
+        if part <= 0.0 || task.wanted >= task.limit {
+            return self.end(id, Answer::Rejected { terminal });
+        }
+        let (before, after) = (task.rate, task.rate * part);
+        self.hold.remove(&(order(before), id));
+        self.hold.insert((order(after), id));
+        let task = self.inside(id);
+        (task.rate, task.wanted) = (after, task.limit);
+        let at = self.refuse_at(self.task(id).expect("held"));
+        self.look_at(id, at.max(self.now));
+    }
+
+    /// Looks at a task whose time has come.
+    fn look(&mut self, id: TaskId) {
+        let Some(task) = self.task(id) else { return };
+        let refuse_at = self.refuse_at(task);
+        match task.place {
+            Place::Over => self.changed.push(id),
+            Place::Held if refuse_at > self.now => self.look_at(id, refuse_at),
+            Place::Held => self.too_late(id, true),
+            Place::Standing if self.now < task.wanted => self.leave_out(id),
+            Place::OnCores if self.set.stoppable => self.end(id, Answer::Abandoned),
+            _ if self.now < task.limit => self.look_at(id, task.limit),
+            _ => self.end(id, Answer::Abandoned),
+        }
     }
 
     /// Lets calls go, the highest rate first, as far as the window and the shared dependency allow.
     fn let_calls_go(&mut self) {
+        let share = match self.set.below {
+            Below::Shared { calls, .. } => calls * CALLS_CEILING,
+            _ => f64::INFINITY,
+        };
         while let Some(&(_, id)) = self.standing.first() {
-            let share = match self.set.below {
-                Below::Shared { calls, .. } => calls * CALLS_CEILING,
-                _ => f64::INFINITY,
-            };
-            let room = self.load.calling + 1.0 <= self.window.min(share.max(1.0)) && self.calls_mean < share;
             let task = self.task(id).expect("standing");
-            let rest = Span::from_secs((self.cost(task.stage, task.basis) - task.worked).max(0.0));
-            let late = self.set.stages[task.stage].late_part > 0.0;
-            let wanted = if late { task.limit } else { task.wanted };
-            let left = wanted - self.now;
-            if left <= rest {
+            let (room, limit) = (self.call_room(task), task.limit);
+            if room == Span::ZERO {
                 self.leave_out(id);
-                continue;
-            }
-            if !room {
-                let at = wanted - rest;
-                self.look_at(id, at);
+            } else if self.load.calling + 1.0 > self.window.min(share.max(1.0)) || self.calls_mean >= share {
+                self.look_at(id, self.now + room);
                 break;
+            } else {
+                self.put(id, Place::Calling);
+                self.inside(id).called = self.now;
+                self.look_at(id, limit);
             }
-            let limit = task.limit;
-            self.put(id, Place::Calling);
-            let now = self.now;
-            let task = self.task_mut(id);
-            (task.called_at, task.call_for) = (now, left - rest);
+        }
+    }
+
+    /// A call that can't be had is left out where the stage allows it; else the task is settled.
+    fn leave_out(&mut self, id: TaskId) {
+        let task = self.task(id).expect("at a call");
+        let limit = task.limit;
+        if self.set.stages[task.stage].skip_part > 0.0 {
+            self.put(id, Place::OnCores);
             self.look_at(id, limit);
+        } else {
+            self.end(id, Answer::Abandoned);
+        }
+    }
+
+    /// Gives a task its final answer. What runs and can't be stopped goes on using the machine.
+    fn end(&mut self, id: TaskId, answer: Answer) {
+        let stoppable = self.set.stoppable;
+        let task = self.inside(id);
+        let effect_ran = task.ran && task.effect != Effect::Restartable;
+        if task.owed && task.answer.is_none() {
+            task.answer = Some(if effect_ran { Answer::Abandoned } else { answer });
+        }
+        let (place, charged) = (task.place, task.charged.take_if(|_| !task.ran));
+        if let Some(c) = charged {
+            self.allowances[c] += 1.0;
+        }
+        match place {
+            Place::Held | Place::Reusing => self.moved(id, Place::Over),
+            Place::Standing => self.moved(id, Place::Ending),
+            Place::OnCores if stoppable => self.put(id, Place::Ending),
+            _ => self.changed.push(id),
         }
     }
 
+    // --- What callers are told ---
+
     /// Remembers which callers send how much, lately.
     fn note_caller(&mut self, caller: u64) {
-        for (_, share) in &mut self.callers {
-            *share *= CALLER_FADE;
+        if !self.callers.iter().any(|&(known, _)| known == caller) {
+            self.callers.push((caller, 0.0));
         }
-        match self.callers.iter_mut().find(|(known, _)| *known == caller) {
-            Some((_, share)) => *share += 1.0 - CALLER_FADE,
-            None => self.callers.push((caller, 1.0 - CALLER_FADE)),
+        for (known, share) in &mut self.callers {
+            *share += (f64::from(u8::from(*known == caller)) - *share) * CALLER_GAIN;
         }
-        self.callers.retain(|(_, share)| *share > 1e-3);
+        self.callers.retain(|&(_, share)| share > CALLER_GAIN * CALLER_GAIN);
     }
 
-    /// The free value: how much of the surplus should not be sent here at all.
+    /// The free value: how much should be sent here at all.
     fn free(&self) -> Option<f64> {
-        let cores = f64::from(self.set.cores);
-        let work: f64 = self.rows.iter().map(|r| r.cost).sum::<f64>() / self.rows.len().max(1) as f64;
+        let leaving = self.kill.is_some();
+        let work = self.rows.iter().map(|r| r.cost).sum::<f64>() / self.rows.len().max(1) as f64;
         let due = self.set.stages.iter().map(|s| s.due.secs()).fold(f64::INFINITY, f64::min);
-        // Reading costs work whatever is decided: tasks that lay unread say that too much is sent here, and a
-        // node that reads only what is stale by then answers nobody. Should catch every cause of a backlog
-        // (slow cores, one caller's burst, others gone); could harm where a pause alone let tasks lie, for as
-        // long as callers heed.
-        let unread = self.unread / (self.mean_due() * UNREAD_SHARE);
-        let room = (cores / work.max(1e-6) * due * CREDIT_STAY).max(cores) * (1.0 - unread).max(0.0);
-        let full = ((self.load.out + self.hold.len() as f64) / room.max(1.0)).min(2.0);
+        // Reading costs work whatever is decided: tasks that lay unread say that too much is sent here.
+        // Should catch every cause of that; harms after a mere pause, for as long as callers heed.
+        let unread = (1.0 - self.unread / (self.mean_due * UNREAD_SHARE)).max(0.0);
+        let room = (self.cores / work.max(1e-6) * due * FREE_STAY).max(self.cores) * unread;
+        let full = (self.load.out + self.hold.len() as f64) / room.max(1.0);
         match self.set.free_value {
             FreeValue::Silent => None,
-            _ if self.kill.is_some() => Some(if self.set.free_value == FreeValue::Level { 1.0 } else { 0.0 }),
-            FreeValue::Level => Some(((full - 1.0) / 2.0).max(0.0)),
+            FreeValue::Level if leaving => Some(1.0),
+            _ if leaving => Some(0.0),
+            FreeValue::Level => Some(((full - 1.0) / 2.0).clamp(0.0, 0.5)),
             FreeValue::Weight => Some((1.5 - full).clamp(0.1, 1.0)),
             FreeValue::Credit => {
-                let (sum, squares) =
-                    self.callers.iter().fold((0.0, 0.0), |(a, b), (_, s)| (a + s, b + s * s));
-                let alike =
-                    if squares > 0.0 { sum * sum / squares } else { f64::from(self.set.callers.max(1)) };
+                // Credit is told to each caller: the room is split by as many as send alike.
+                let squares: f64 = self.callers.iter().map(|(_, s)| s * s).sum();
+                let sum: f64 = self.callers.iter().map(|(_, s)| s).sum();
+                let alike = if sum > 0.0 { sum * sum / squares } else { f64::from(self.set.callers) };
                 Some((room / alike.max(1.0) * 4.0).round() / 4.0)
             }
         }
     }
 
-    /// How long a caller that was rejected should keep away.
+    /// How long a rejected caller should keep away: until the line is worked off, not all at one moment.
     fn hold_off(&mut self) -> Span {
         if self.kill.is_some() {
             return self.set.hold_off;
         }
-        let spread = 0.5 + self.chance.unit();
-        let line = self.held_cost / f64::from(self.set.cores) + self.unread;
-        (Span::from_secs(line) * spread).max(self.period).min(self.set.hold_off)
+        let line = Span::from_secs(self.held_cost / self.cores + self.unread);
+        (line * (0.5 + self.chance.unit())).max(self.period).min(self.set.hold_off)
     }
 
     // --- The difference between what is wanted and what the host was told ---
 
     fn emit(&mut self, actions: &mut Vec<Action>) {
-        let outward = Outward { health: self.kill.is_none() && !self.stale, free: self.free() };
-        if self.told.map(|t| t.health) != Some(outward.health) {
-            actions.push(Action::Health(outward.health));
-        }
-        if let Some(free) = outward.free.filter(|_| self.told.map(|t| t.free) != Some(outward.free)) {
-            actions.push(Action::Say(free));
-        }
-        self.told = Some(outward);
+        let wanted = (Some(self.kill.is_none() && !self.stale), self.free());
+        let told = std::mem::replace(&mut self.told, wanted);
+        actions.extend(wanted.0.filter(|_| told.0 != wanted.0).map(Action::Health));
+        actions.extend(wanted.1.filter(|_| told.1 != wanted.1).map(Action::Say));
         for id in std::mem::take(&mut self.changed) {
-            self.emit_task(id, actions);
+            if self.task(id).is_some() {
+                self.emit_task(id, actions);
+            }
         }
         actions.extend(self.logs.drain(..).map(Action::Log));
-        if std::mem::take(&mut self.arm) {
+        if std::mem::take(&mut self.timer_wanted) {
             actions.push(Action::Timer(self.period));
         }
     }
 
     fn emit_task(&mut self, id: TaskId, actions: &mut Vec<Action>) {
-        let Some(task) = self.task(id) else { return };
-        let (told, place) = (task.told, task.place);
+        let (now, task) = (self.now, self.inside(id));
+        let (told, place) = (std::mem::replace(&mut task.told, task.place), task.place);
         if let Some(until) = task.kept_until.filter(|_| !task.key_told && place != Place::Over) {
-            actions.push(Action::Keep(id, until - self.now));
-            self.task_mut(id).key_told = true;
+            task.key_told = true;
+            actions.push(Action::Keep(id, until - now));
         }
-        let task = self.task(id).expect("inside");
         let answer = task.answer.filter(|_| task.owed);
-        if let Some(answer) = answer {
-            self.task_mut(id).owed = false;
-            actions.push(match answer {
-                Answer::Abandoned => Action::Abandon(id),
-                Answer::Rejected { terminal } => {
-                    Action::Reject { task: id, hold_off: self.hold_off(), terminal }
-                }
-            });
+        task.owed &= answer.is_none();
+        match answer {
+            None => {}
+            Some(Answer::Abandoned) => actions.push(Action::Abandon(id)),
+            Some(Answer::Rejected { terminal }) => {
+                actions.push(Action::Reject { task: id, hold_off: self.hold_off(), terminal })
+            }
         }
         match (told, place) {
             (Place::Held, Place::OnCores) => actions.push(Action::Run(id)),
             (Place::Held, Place::Reusing) => actions.push(Action::Reuse(id)),
             (Place::Standing, Place::Calling) => {
-                let time_out = self.task(id).expect("inside").call_for;
+                let time_out = self.call_room(self.task(id).expect("inside"));
                 actions.push(Action::Call { task: id, time_out });
             }
-            (Place::Standing, Place::Skipping) => {
-                actions.push(Action::Skip(id));
-                self.put(id, Place::OnCores);
-            }
+            (Place::Standing, Place::OnCores) => actions.push(Action::Skip(id)),
             (Place::OnCores, Place::Ending) => actions.push(Action::Stop(id)),
+            (_, Place::Over) => self.release(id, actions),
             _ => {}
         }
-        let task = self.task_mut(id);
-        task.told = task.place;
-        if task.place == Place::Over {
-            self.over(id, actions);
-        }
     }
 
     /// Frees the index of a task that is over, unless its key is still kept.
-    fn over(&mut self, id: TaskId, actions: &mut Vec<Action>) {
-        let task = self.task(id).expect("inside");
-        let (look, kept, ran, key_told) = (task.look, task.kept_until, task.ran, task.key_told);
-        match kept.filter(|until| *until > self.now) {
-            Some(until) if ran => self.look_at(id, until),
-            kept => {
-                if kept.is_some() && key_told {
-                    actions.push(Action::Forget(id));
-                }
-                self.reweigh(id, |task| task.kept_until = None);
-                self.timed.remove(&(look, id));
-                self.tasks[id.0 as usize] = None;
-                actions.push(Action::Release(id));
-            }
-        }
+    fn release(&mut self, id: TaskId, actions: &mut Vec<Action>) {
+        let now = self.now;
+        let task = self.inside(id);
+        if let Some(until) = task.kept_until.filter(|until| task.ran && *until > now) {
+            return self.look_at(id, until);
+        }
+        let (look, forget) = (task.look, task.kept_until.is_some_and(|until| until > now && task.key_told));
+        if forget {
+            actions.push(Action::Forget(id));
+        }
+        self.reweigh(id, |task| task.kept_until = None);
+        self.timed.remove(&(look, id));
+        self.tasks[id.0 as usize] = None;
+        actions.push(Action::Release(id));
     }
 }
--- a/src/time.rs
+++ b/src/time.rs
@@ -3,7 +3,7 @@
 use std::ops::{Add, Div, Mul, Sub};
 
 /// A point on the host's clock, in whole microseconds since a start of the host's choosing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Instant(u64);
 
 /// A length of time, never negative, in whole microseconds.
