Settle each task at a call once its call would come too late

Only the first in rank was settled; the others stood until their time limit, given up on without an answer. Also: the learned throughput is not pulled down while the gauge shows idle room, and the tests.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,9 +6,7 @@
 //! highest start until one no longer fits under the learned throughput. Decisions set where a task is wanted;
 //! `emit` works out the difference to what the host was told.
 
-use crate::interface::*;
-use crate::pcg::Pcg;
-use crate::time::{Instant, Span};
+use crate::*;
 use std::collections::BTreeSet;
 
 /// The timer's period, as a share of the shortest due time.
@@ -44,10 +42,8 @@
 const TIER_SHARE: f64 = 1.0 / 3.0;
 /// Tasks that lay unread for this share of the mean due time take all credit.
 const UNREAD_SHARE: f64 = 0.25;
-/// Unread for this share of the mean due time, a node leaves the callers' lists, by chance within about
-/// `LEAVE_WITHIN` of it; at `FRESH_AGAIN` it comes back.
+/// Unread for this share of the mean due time, a node leaves the list, about within the next; and its return.
 const STALE: f64 = 0.3;
-const LEAVE_WITHIN: f64 = 0.3;
 const FRESH_AGAIN: f64 = 0.1;
 /// What one arrival moves the unread time, and the callers' shares.
 const UNREAD_GAIN: f64 = 1.0 / 8.0;
@@ -69,13 +65,6 @@
     Over,
 }
 
-/// The final answers that the module gives itself.
-#[derive(Clone, Copy)]
-enum Answer {
-    Rejected { terminal: bool },
-    Abandoned,
-}
-
 #[derive(Default)]
 struct Task {
     stage: usize,
@@ -92,7 +81,8 @@
     demand: f64,
     place: Place,
     told: Place,
-    answer: Option<Answer>,
+    /// The final answer that the module gives itself, and whether one is owed yet.
+    answer: Option<Action>,
     owed: bool,
     ran: bool,
     /// Core time had so far, in seconds; while it is on the cores, less the clock of its landing there.
@@ -151,8 +141,9 @@
     calls_mean: f64,
     /// Summed demand that the cores are known to carry.
     throughput: f64,
-    /// Since when the set has been full.
+    /// Since when the set has been full, and whether the gauge shows idle room all the same.
     full_since: Option<Instant>,
+    idle: bool,
     /// Bound of the calls in hand, its last cut, and the usual time of a call in seconds.
     window: f64,
     window_cut: Instant,
@@ -201,6 +192,7 @@
             calls_mean: 0.0,
             throughput: 0.0,
             full_since: None,
+            idle: false,
             window: f64::from(set.cores),
             window_cut: now,
             call_time: 0.0,
@@ -221,13 +213,12 @@
         match event {
             Event::Arrived(arrival) => self.arrived(arrival),
             Event::CallerGone(id) if self.task(id).is_some() => self.caller_gone(id),
-            Event::AtCall(id) if self.task(id).is_some() => self.moved(id, Place::Standing),
+            Event::AtCall(id) if self.task(id).is_some() => self.stand(id),
             Event::CallEnded(id, outcome) if self.task(id).is_some() => self.call_ended(id, outcome),
             Event::RunEnded(id, outcome) if self.task(id).is_some() => self.run_ended(id, outcome),
             Event::Timer(gauges) => self.timer(gauges),
             Event::Drain(kill) => self.drain(kill),
-            // The end of something that is over already.
-            _ => {}
+            _ => {} // The end of something that is over already.
         }
     }
 
@@ -360,12 +351,13 @@
         let age = (self.now - self.started) / self.set.warm_after;
         let warm = if self.set.cold { (self.set.cold_share * (1.0 - age) + age).min(1.0) } else { 1.0 };
         let crowd = (1.0 + (self.set.crowd_limit - 1.0) * warm) * self.cores;
-        let more = kb * (self.set.run_memory - 1.0);
-        self.load.kb + more <= self.set.memory_kb * CEILING && self.load.out + 1.0 <= crowd * CEILING
+        self.load.kb + kb * (self.set.run_memory - 1.0) <= self.set.memory_kb * CEILING
+            && self.load.out + 1.0 <= crowd * CEILING
     }
 
     /// How long a call may take so that the rest of the run is still in time.
-    fn call_room(&self, task: &Task) -> Span {
+    fn call_room(&self, id: TaskId) -> Span {
+        let task = self.task(id).expect("at a call");
         let rest = (self.cost(task.stage, task.basis) - task.worked).max(0.0);
         let late = self.set.stages[task.stage].late_part > 0.0;
         let until = if late { task.limit } else { task.wanted };
@@ -392,8 +384,7 @@
         let charged = arrival.customer.filter(|&c| self.allowances[c] >= 1.0);
         match charged {
             Some(c) => self.allowances[c] -= 1.0,
-            None if arrival.customer.is_some() => utility *= self.set.over_share,
-            None => {}
+            None => utility *= if arrival.customer.is_some() { self.set.over_share } else { 1.0 },
         }
         let due = came + stage.due * TIER_SHARE.powi(self.set.depth as i32);
         let (effect, window) = (stage.effect, stage.repeat_window);
@@ -420,7 +411,7 @@
         self.note_caller(arrival.caller);
         self.unread += (arrival.unread.secs() - self.unread) * UNREAD_GAIN;
         if self.kill.is_some_and(|(grace, _)| came >= grace) {
-            return self.end(id, Answer::Rejected { terminal: false });
+            return self.reject(id, false);
         }
         // An effect that may have happened is answered from its first run, never run again or rejected.
         let again = match arrival.repeat {
@@ -441,7 +432,7 @@
                 self.reweigh(id, |task| task.kept_until = Some(until));
             } else if !shared {
                 // Without its key a repeat would look new, and both could run.
-                return self.end(id, Answer::Rejected { terminal: false });
+                return self.reject(id, false);
             }
         }
         let at = self.refuse_at(self.task(id).expect("just put"));
@@ -458,6 +449,13 @@
         }
     }
 
+    /// A task stands at a call, at the longest until the call would come too late.
+    fn stand(&mut self, id: TaskId) {
+        self.moved(id, Place::Standing);
+        let at = self.now + self.call_room(id);
+        self.look_at(id, at);
+    }
+
     fn call_ended(&mut self, id: TaskId, outcome: CallOutcome) {
         let now = self.now;
         let task = self.inside(id);
@@ -465,8 +463,9 @@
             return;
         }
         task.call_tries += 1;
-        let (took, owed, tries) = (now - task.called, task.owed, task.call_tries);
+        let (took, owed) = (now - task.called, task.owed);
         let again = task.effect == Effect::Restartable || outcome == CallOutcome::NeverRan;
+        let again = again && task.call_tries < CALL_TRIES;
         if outcome == CallOutcome::Ok {
             self.window += 1.0 / self.window;
             self.call_time += (took.secs() - self.call_time) * GAIN;
@@ -481,8 +480,10 @@
         if let (Below::Shared { over, linger, .. }, CallOutcome::MayHaveRun) = (self.set.below, outcome) {
             self.calls_mean += linger / over;
         }
-        self.moved(id, if owed { Place::Standing } else { Place::Ending });
-        if owed && (!again || tries >= CALL_TRIES) {
+        self.stand(id);
+        if !owed {
+            self.moved(id, Place::Ending);
+        } else if !again {
             self.leave_out(id);
         }
     }
@@ -495,7 +496,7 @@
         let owed = task.owed;
         self.moved(id, Place::Over);
         if owed {
-            self.end(id, Answer::Abandoned);
+            self.end(id, Action::Abandon(id));
         }
         if measured {
             self.learn(id);
@@ -517,7 +518,7 @@
         row.waits += (waits - row.waits) * gain;
         row.seen = true;
         let (set, tasks) = (self.load.demand + demand, self.load.on_cores + 1.0);
-        if tasks >= self.cores {
+        if tasks >= self.cores && !self.idle {
             self.throughput += (set * self.cores / tasks - self.throughput) * GAIN;
         }
     }
@@ -526,11 +527,11 @@
         self.timer_wanted = true;
         self.judge_staleness();
         if self.load.on_cores < self.cores {
-            self.full_since = None;
-            return;
+            return self.full_since = None;
         }
         let since = *self.full_since.get_or_insert(self.now);
-        if gauges.cores_busy.is_some_and(|busy| busy < IDLE) && self.now - since > GAUGE_SPAN {
+        self.idle = gauges.cores_busy.is_some_and(|busy| busy < IDLE) && self.now - since > GAUGE_SPAN;
+        if self.idle {
             self.use_idle_room();
             self.full_since = Some(self.now);
         }
@@ -552,7 +553,7 @@
     fn judge_staleness(&mut self) {
         let (was, chance) = (self.stale, self.chance.unit());
         let leave = self.unread > self.mean_due * STALE;
-        let soon = chance < self.period.secs() / (self.mean_due * LEAVE_WITHIN);
+        let soon = chance < self.period.secs() / (self.mean_due * STALE);
         self.stale = if was { self.unread > self.mean_due * FRESH_AGAIN } else { leave && soon };
         if was != self.stale {
             let what = if was { "back on the list" } else { "off the list" };
@@ -588,8 +589,7 @@
                 self.too_late(id, true);
                 continue;
             }
-            let jammed = self.standing.len() as f64 >= self.cores && self.set.stages[task.stage].calls;
-            if jammed || !self.fits(task.demand) || !self.survives(task.kb) {
+            if !self.fits(task.demand) || !self.survives(task.kb) {
                 break;
             }
             self.start(id);
@@ -597,7 +597,7 @@
         // The hold itself has to fit into memory: the lowest rates go first.
         while self.load.kb > self.set.memory_kb * CEILING {
             let Some(&(_, id)) = self.hold.last() else { break };
-            self.end(id, Answer::Rejected { terminal: false });
+            self.reject(id, false);
         }
     }
 
@@ -635,7 +635,7 @@
         let task = self.task(id).expect("held");
         let part = self.set.stages[task.stage].late_part;
         if part <= 0.0 || task.wanted >= task.limit {
-            return self.end(id, Answer::Rejected { terminal });
+            return self.reject(id, terminal);
         }
         let (before, after) = (task.rate, task.rate * part);
         self.hold.remove(&(order(before), id));
@@ -654,10 +654,10 @@
             Place::Over => self.changed.push(id),
             Place::Held if refuse_at > self.now => self.look_at(id, refuse_at),
             Place::Held => self.too_late(id, true),
-            Place::Standing if self.now < task.wanted => self.leave_out(id),
-            Place::OnCores if self.set.stoppable => self.end(id, Answer::Abandoned),
+            Place::Standing => self.leave_out(id),
+            Place::OnCores if self.set.stoppable => self.end(id, Action::Abandon(id)),
             _ if self.now < task.limit => self.look_at(id, task.limit),
-            _ => self.end(id, Answer::Abandoned),
+            _ => self.end(id, Action::Abandon(id)),
         }
     }
 
@@ -668,18 +668,15 @@
             _ => f64::INFINITY,
         };
         while let Some(&(_, id)) = self.standing.first() {
-            let task = self.task(id).expect("standing");
-            let (room, limit) = (self.call_room(task), task.limit);
-            if room == Span::ZERO {
-                self.leave_out(id);
-            } else if self.load.calling + 1.0 > self.window.min(share.max(1.0)) || self.calls_mean >= share {
-                self.look_at(id, self.now + room);
+            if self.load.calling + 1.0 > self.window.min(share.max(1.0)) || self.calls_mean >= share {
                 break;
-            } else {
-                self.put(id, Place::Calling);
-                self.inside(id).called = self.now;
-                self.look_at(id, limit);
             }
+            self.put(id, Place::Calling);
+            let now = self.now;
+            let task = self.inside(id);
+            task.called = now;
+            let limit = task.limit;
+            self.look_at(id, limit);
         }
     }
 
@@ -691,18 +688,21 @@
             self.put(id, Place::OnCores);
             self.look_at(id, limit);
         } else {
-            self.end(id, Answer::Abandoned);
+            self.end(id, Action::Abandon(id));
         }
     }
 
+    fn reject(&mut self, task: TaskId, terminal: bool) {
+        let hold_off = self.hold_off();
+        self.end(task, Action::Reject { task, hold_off, terminal });
+    }
+
     /// Gives a task its final answer. What runs and can't be stopped goes on using the machine.
-    fn end(&mut self, id: TaskId, answer: Answer) {
+    fn end(&mut self, id: TaskId, answer: Action) {
         let stoppable = self.set.stoppable;
         let task = self.inside(id);
         let effect_ran = task.ran && task.effect != Effect::Restartable;
-        if task.owed && task.answer.is_none() {
-            task.answer = Some(if effect_ran { Answer::Abandoned } else { answer });
-        }
+        task.answer.get_or_insert(if effect_ran { Action::Abandon(id) } else { answer });
         let (place, charged) = (task.place, task.charged.take_if(|_| !task.ran));
         if let Some(c) = charged {
             self.allowances[c] += 1.0;
@@ -730,7 +730,6 @@
 
     /// The free value: how much should be sent here at all.
     fn free(&self) -> Option<f64> {
-        let leaving = self.kill.is_some();
         let work = self.rows.iter().map(|r| r.cost).sum::<f64>() / self.rows.len().max(1) as f64;
         let due = self.set.stages.iter().map(|s| s.due.secs()).fold(f64::INFINITY, f64::min);
         // Reading costs work whatever is decided: tasks that lay unread say that too much is sent here.
@@ -740,14 +739,14 @@
         let full = (self.load.out + self.hold.len() as f64) / room.max(1.0);
         match self.set.free_value {
             FreeValue::Silent => None,
-            FreeValue::Level if leaving => Some(1.0),
-            _ if leaving => Some(0.0),
+            FreeValue::Level if self.kill.is_some() => Some(1.0),
+            _ if self.kill.is_some() => Some(0.0),
             FreeValue::Level => Some(((full - 1.0) / 2.0).clamp(0.0, 0.5)),
             FreeValue::Weight => Some((1.5 - full).clamp(0.1, 1.0)),
             FreeValue::Credit => {
                 // Credit is told to each caller: the room is split by as many as send alike.
-                let squares: f64 = self.callers.iter().map(|(_, s)| s * s).sum();
-                let sum: f64 = self.callers.iter().map(|(_, s)| s).sum();
+                let (sum, squares) =
+                    self.callers.iter().fold((0.0, 0.0), |(a, b), (_, s)| (a + s, b + s * s));
                 let alike = if sum > 0.0 { sum * sum / squares } else { f64::from(self.set.callers) };
                 Some((room / alike.max(1.0) * 4.0).round() / 4.0)
             }
@@ -788,21 +787,15 @@
             task.key_told = true;
             actions.push(Action::Keep(id, until - now));
         }
-        let answer = task.answer.filter(|_| task.owed);
-        task.owed &= answer.is_none();
-        match answer {
-            None => {}
-            Some(Answer::Abandoned) => actions.push(Action::Abandon(id)),
-            Some(Answer::Rejected { terminal }) => {
-                actions.push(Action::Reject { task: id, hold_off: self.hold_off(), terminal })
-            }
+        if let Some(answer) = task.answer.take_if(|_| task.owed) {
+            task.owed = false;
+            actions.push(answer);
         }
         match (told, place) {
             (Place::Held, Place::OnCores) => actions.push(Action::Run(id)),
             (Place::Held, Place::Reusing) => actions.push(Action::Reuse(id)),
             (Place::Standing, Place::Calling) => {
-                let time_out = self.call_room(self.task(id).expect("inside"));
-                actions.push(Action::Call { task: id, time_out });
+                actions.push(Action::Call { task: id, time_out: self.call_room(id) })
             }
             (Place::Standing, Place::OnCores) => actions.push(Action::Skip(id)),
             (Place::OnCores, Place::Ending) => actions.push(Action::Stop(id)),
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,375 @@
+//! Short stories on the module alone: the mechanism, the four rules, and each failure met so far.
+
+mod host;
+
+use host::{settings, stage, Host};
+use lynxtally::*;
+
+// --- The mechanism ---
+
+#[test]
+fn the_highest_rate_starts_first() {
+    let mut host = Host::new(settings());
+    let running = [host.plain(0, 0), host.plain(0, 0)];
+    let (cheap, dear) = (host.plain(10, 0), host.plain(11, 1));
+    host.end(100, running[0]);
+    assert!(host.ran(dear) && !host.ran(cheap));
+    host.end(110, running[1]);
+    assert!(host.ran(cheap));
+}
+
+#[test]
+fn selection_stops_at_the_first_that_does_not_fit() {
+    let mut host = Host::new(settings());
+    let started: Vec<_> = (0..4).map(|_| host.starts(0, 0)).collect();
+    assert_eq!(started, [true, true, false, false], "the set is the core count until more is learned");
+}
+
+#[test]
+fn idle_room_starts_held_work_and_is_remembered() {
+    let mut host = Host::new(settings());
+    let tasks: Vec<_> = (0..5).map(|_| host.plain(0, 0)).collect();
+    host.tick(25, 1.0);
+    host.tick(100, 0.5);
+    assert!(!host.ran(tasks[2]), "the gauge still looks back on the time before the set was full");
+    host.tick(600, 0.5);
+    assert!(host.ran(tasks[2]));
+    host.end(610, tasks[0]);
+    assert!(host.ran(tasks[3]), "the raised throughput admits a third");
+    host.tick(1300, 1.0);
+    assert!(!host.ran(tasks[4]));
+}
+
+#[test]
+fn what_can_not_be_in_time_is_rejected_at_once() {
+    let mut host = Host::new(settings());
+    for _ in 0..2 {
+        host.plain(0, 0);
+    }
+    let held = host.plain(0, 0);
+    host.tick(500, 1.0);
+    assert!(!host.rejected(held));
+    host.tick(960, 1.0);
+    assert!(host.rejected(held));
+}
+
+#[test]
+fn the_line_ahead_counts_for_the_refusal() {
+    let mut host = Host::new(settings());
+    let line: Vec<_> = (0..40).map(|_| host.plain(0, 1)).collect();
+    let last = host.plain(0, 0);
+    assert!(host.rejected(last), "forty dearer tasks of an eighth of the due time stand before it");
+    assert!(host.ran(line[0]) || !host.rejected(line[0]));
+}
+
+#[test]
+fn a_long_shot_is_tried_while_a_core_is_free() {
+    let mut host = Host::new(settings());
+    let long = host.arrive(0, 0, |a| a.hint = Some(Span::from_millis(5000)));
+    assert!(host.ran(long), "books' quiet day: a rough hint turned away work from idle cores");
+}
+
+#[test]
+fn a_task_beyond_its_customers_share_ranks_by_what_it_keeps() {
+    let mut host = Host::new(Settings { quotas: vec![1.0, 1.0], ..settings() });
+    host.tick(2000, 0.0);
+    let running = [host.plain(2000, 0), host.plain(2000, 0)];
+    for _ in 0..3 {
+        host.arrive(2001, 1, |a| a.customer = Some(0));
+    }
+    let within = host.arrive(2002, 0, |a| a.customer = Some(1));
+    host.end(2010, running[0]);
+    host.end(2011, running[1]);
+    host.end(2012, TaskId(2));
+    assert!(host.ran(within), "the third of the heavy customer is worth a tenth");
+}
+
+#[test]
+fn late_work_keeps_only_its_late_part() {
+    let mut set = settings();
+    set.stages[1].late_part = 0.1;
+    let mut host = Host::new(set);
+    let running = [host.plain(0, 0), host.plain(0, 0)];
+    let late = host.plain(0, 1);
+    host.tick(990, 1.0);
+    assert!(!host.rejected(late));
+    let fresh = host.plain(995, 0);
+    host.end(1000, running[0]);
+    assert!(host.ran(fresh) && !host.ran(late));
+}
+
+// --- Calls ---
+
+#[test]
+fn the_window_of_calls_grows_by_one_and_is_cut_by_a_share() {
+    let mut host = Host::new(Settings { cores: 6, below: Below::Tier, ..settings() });
+    let tasks: Vec<_> = (0..24).map(|i| host.plain(i, 0)).collect();
+    let mut let_go = 0;
+    for (i, &task) in tasks.iter().enumerate().take(12) {
+        host.happen(30 + i as u64, [Event::AtCall(task)]);
+        let_go += u32::from(host.called(task));
+    }
+    assert_eq!(let_go, 6, "the window starts at the cores");
+    host.happen(60, [Event::CallEnded(tasks[0], CallOutcome::NeverRan)]);
+    assert!(!host.did.iter().any(|a| matches!(a, Action::Call { .. })), "a rejected call cuts the window");
+    for &task in &tasks[1..6] {
+        host.happen(70, [Event::CallEnded(task, CallOutcome::Ok)]);
+    }
+    host.happen(71, [Event::AtCall(tasks[1])]);
+    let out = |host: &Host| host.did.iter().filter(|a| matches!(a, Action::Call { .. })).count();
+    assert!(out(&host) <= 1, "four calls and what one good round adds");
+}
+
+#[test]
+fn the_shared_dependency_gets_no_more_than_its_share() {
+    let below = Below::Shared { calls: 2.0, over: Span::from_millis(5000), linger: Span::from_millis(200) };
+    let mut host = Host::new(Settings { below, cores: 4, ..settings() });
+    let tasks: Vec<_> = (0..4).map(|_| host.plain(0, 0)).collect();
+    let mut let_go = 0;
+    for &task in &tasks {
+        host.happen(10, [Event::AtCall(task)]);
+        let_go += u32::from(host.called(task));
+    }
+    assert_eq!(let_go, 1, "of a share of two, the ceiling leaves room for one whole call");
+}
+
+#[test]
+fn a_call_that_can_not_be_had_is_left_out_or_the_task_settled() {
+    for skip_part in [0.5, 0.0] {
+        let mut set = Settings { below: Below::Tier, ..settings() };
+        set.stages[0].skip_part = skip_part;
+        let mut host = Host::new(set);
+        let task = host.plain(0, 0);
+        host.happen(10, [Event::AtCall(task)]);
+        for ms in [20, 30, 40] {
+            assert!(host.called(task));
+            host.happen(ms, [Event::CallEnded(task, CallOutcome::NeverRan)]);
+        }
+        assert_eq!(host.did.contains(&Action::Skip(task)), skip_part > 0.0);
+        assert_eq!(host.abandoned(task), skip_part == 0.0);
+    }
+}
+
+#[test]
+fn a_tier_below_has_part_of_the_due_time() {
+    let mut host = Host::new(Settings { depth: 1, ..settings() });
+    let held = [0, 0, 0].map(|stage| host.plain(0, stage))[2];
+    host.tick(320, 1.0);
+    assert!(host.rejected(held), "its caller is a backend that has given up by then");
+}
+
+// --- Rule 1: no task lost ---
+
+#[test]
+fn running_work_is_answered_before_its_limit_even_if_it_can_not_be_stopped() {
+    let mut host = Host::new(settings());
+    let task = host.plain(0, 0);
+    host.tick(2900, 1.0);
+    assert!(!host.abandoned(task));
+    host.tick(2960, 1.0);
+    assert!(host.abandoned(task));
+    host.end(3500, task);
+    assert!(!host.abandoned(task) && host.did.contains(&Action::Release(task)), "one answer only");
+}
+
+#[test]
+fn what_can_be_stopped_leaves_the_cores_when_it_is_due() {
+    let mut host = Host::new(Settings { stoppable: true, ..settings() });
+    let task = host.plain(0, 0);
+    host.tick(1010, 1.0);
+    assert!(host.abandoned(task) && host.did.contains(&Action::Stop(task)));
+}
+
+#[test]
+fn a_caller_that_is_gone_gets_no_answer() {
+    let mut host = Host::new(settings());
+    let tasks = [0, 0, 0].map(|stage| host.plain(0, stage));
+    host.happen(10, tasks.map(Event::CallerGone));
+    host.tick(2990, 1.0);
+    assert!(!tasks.iter().any(|&task| host.rejected(task) || host.abandoned(task)));
+}
+
+// --- Rule 2: no effect twice ---
+
+#[test]
+fn a_fingerprinted_repeat_is_answered_from_the_first_run() {
+    let mut set = settings();
+    set.stages[0].effect = Effect::Fingerprinted;
+    let mut host = Host::new(set);
+    let first = host.plain(0, 0);
+    assert!(host.did.iter().any(|a| matches!(a, Action::Keep(t, span) if *t == first && span.secs() >= 5.0)));
+    assert!(host.ran(first));
+    host.end(100, first);
+    assert!(!host.did.contains(&Action::Release(first)), "its key is live");
+    let again = host.arrive(200, 0, |a| a.repeat = Repeat::Of(first));
+    assert!(host.did.contains(&Action::Reuse(again)) && !host.ran(again));
+    host.tick(5200, 0.0);
+    assert!(host.did.contains(&Action::Release(first)));
+}
+
+#[test]
+fn an_effect_that_ran_is_not_rejected_and_its_call_not_repeated() {
+    let mut set = Settings { below: Below::Tier, ..settings() };
+    set.stages[0].effect = Effect::SideEffecting;
+    let mut host = Host::new(set);
+    let task = host.plain(0, 0);
+    host.happen(10, [Event::AtCall(task)]);
+    host.happen(50, [Event::CallEnded(task, CallOutcome::MayHaveRun)]);
+    assert!(host.abandoned(task) && !host.called(task));
+}
+
+#[test]
+fn without_room_for_its_key_a_fingerprinted_task_is_not_run() {
+    let mut set = Settings { key_kb: 9000.0, ..settings() };
+    set.stages[0].effect = Effect::Fingerprinted;
+    let mut host = Host::new(set);
+    let task = host.plain(0, 0);
+    assert!(host.rejected(task) && !host.ran(task));
+}
+
+// --- Rule 3: a safe drain ---
+
+#[test]
+fn after_the_grace_nothing_is_run_and_all_is_answered_before_the_kill() {
+    let mut host = Host::new(Settings { free_value: FreeValue::Credit, ..settings() });
+    let running = host.plain(0, 0);
+    let kill = host.at(2000);
+    host.happen(100, [Event::Drain(kill)]);
+    assert!(host.did.contains(&Action::Health(false)));
+    assert_eq!(host.credit, Some(0.0));
+    let within = host.plain(500, 0);
+    assert!(host.ran(within));
+    let beyond = host.plain(1100, 0);
+    assert!(host.rejected(beyond) && !host.ran(beyond));
+    host.tick(1960, 1.0);
+    assert!(host.abandoned(running) && host.abandoned(within));
+}
+
+// --- Rule 4: no fall-over ---
+
+#[test]
+fn memory_and_crowd_bound_the_running_set() {
+    let mut host = Host::new(Settings { memory_kb: 100.0, ..settings() });
+    assert!(host.starts(0, 0) && host.starts(0, 0), "two running tasks need 80 of the 85 kB");
+    let mut host = Host::new(Settings { memory_kb: 90.0, ..settings() });
+    assert!(host.starts(0, 0) && !host.starts(0, 0), "here only 76 may be used");
+    let mut host = Host::new(Settings { cold: true, cold_share: 0.2, crowd_limit: 2.0, ..settings() });
+    assert!(host.starts(0, 0) && host.starts(0, 0), "a little over two tasks on two cores while cold");
+    let mut host = Host::new(Settings { cold: true, cold_share: 0.0, crowd_limit: 2.0, ..settings() });
+    assert!(host.starts(0, 0) && !host.starts(0, 0), "two is the limit itself with no warmth at all");
+}
+
+#[test]
+fn a_full_hold_rejects_the_lowest_rate() {
+    let mut host = Host::new(Settings { memory_kb: 110.0, ..settings() });
+    assert!(host.starts(0, 1) && host.starts(0, 1));
+    let cheap = host.plain(1, 0);
+    assert!(!host.rejected(cheap), "80 kB run, 10 are held, of 93");
+    let dear = host.plain(2, 1);
+    assert!(host.rejected(cheap) && !host.rejected(dear));
+}
+
+// --- Failures met ---
+
+#[test]
+fn a_few_huge_runs_do_not_fool_the_cost() {
+    let mut host = Host::new(settings());
+    for i in 0..20 {
+        let task = host.plain(i * 100, 0);
+        host.end(i * 100 + 50, task);
+    }
+    let huge = host.plain(3000, 0);
+    host.end(5000, huge);
+    let running = [host.plain(5000, 0), host.plain(5000, 0)];
+    let held = host.plain(5000, 0);
+    host.tick(5850, 1.0);
+    assert!(!host.rejected(held), "still expected to take about 60 ms");
+    assert_eq!(running.len(), 2);
+}
+
+#[test]
+fn unread_tasks_cut_the_credit() {
+    let mut host = Host::new(Settings { free_value: FreeValue::Credit, ..settings() });
+    host.plain(0, 0);
+    let before = host.credit.expect("credit is told at the start");
+    for i in 0..20 {
+        host.arrive(10 + i, 0, |a| a.unread = Span::from_millis(400));
+    }
+    assert!(before > 0.0);
+    assert_eq!(host.credit, Some(0.0));
+}
+
+#[test]
+fn a_node_that_reads_only_stale_tasks_leaves_the_list_and_comes_back() {
+    let mut host = Host::new(settings());
+    let (mut left, mut back) = (false, false);
+    for i in 0..100 {
+        host.arrive(100 + i * 25, 0, |a| a.unread = Span::from_millis(900));
+        host.tick(100 + i * 25, 1.0);
+        left |= host.did.contains(&Action::Health(false));
+    }
+    for i in 0..200 {
+        host.tick(3000 + i * 25, 0.0);
+        back |= host.did.contains(&Action::Health(true));
+    }
+    assert!(left && back);
+}
+
+#[test]
+fn a_hasty_time_out_does_not_cut_the_window() {
+    let mut host = Host::new(Settings { cores: 6, below: Below::Tier, ..settings() });
+    let tasks: Vec<_> = (0..12).map(|_| host.plain(0, 0)).collect();
+    for &task in &tasks[..3] {
+        host.happen(10, [Event::AtCall(task)]);
+    }
+    for &task in &tasks[..2] {
+        host.happen(200, [Event::CallEnded(task, CallOutcome::Ok)]);
+    }
+    host.happen(210, [Event::CallEnded(tasks[2], CallOutcome::MayHaveRun)]);
+    assert!(host.called(tasks[2]), "there is room for it still");
+}
+
+#[test]
+fn rejection_tells_when_to_come_back() {
+    let mut host = Host::new(settings());
+    for _ in 0..41 {
+        host.plain(0, 0);
+    }
+    let off = host.did.iter().find_map(|a| match a {
+        Action::Reject { hold_off, .. } => Some(*hold_off),
+        _ => None,
+    });
+    assert!(off.is_some_and(|span| span > Span::from_millis(100) && span <= Span::from_millis(1000)));
+}
+
+#[test]
+fn the_same_events_give_the_same_actions() {
+    let tell = || {
+        let mut host = Host::new(Settings { free_value: FreeValue::Credit, ..settings() });
+        let mut all = Vec::new();
+        for i in 0..60 {
+            host.arrive(i * 7, (i % 2) as usize, |a| a.unread = Span::from_millis(i));
+            all.append(&mut host.did);
+        }
+        all
+    };
+    assert_eq!(tell(), tell());
+}
+
+#[test]
+fn outcomes_for_what_is_over_are_harmless() {
+    let mut host = Host::new(Settings { stages: vec![stage(1.0)], ..settings() });
+    let task = host.plain(0, 0);
+    host.end(10, task);
+    let gone = TaskId(99);
+    host.happen(
+        20,
+        [
+            Event::CallerGone(task),
+            Event::AtCall(task),
+            Event::CallEnded(gone, CallOutcome::Ok),
+            Event::CallerGone(gone),
+        ],
+    );
+    assert!(host.did.iter().all(|a| matches!(a, Action::Timer(_))));
+}
