--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,6 +25,8 @@
 const COST_UNSEEN: f64 = 1.0 / 8.0;
 /// A held task is given up when less than this share of its expected stay is left before it is due.
 const REFUSE_AT: f64 = 0.8;
+/// A call goes out while it leaves time for this share of what the run is expected to need still.
+const REST_AT: f64 = 0.5;
 /// Below this share of busy cores there is idle room; the gauge looks back over that span.
 const IDLE: f64 = 0.92;
 const GAUGE_SPAN: Span = Span::from_millis(500);
@@ -358,7 +360,7 @@
     /// How long a call may take so that the rest of the run is still in time.
     fn call_room(&self, id: TaskId) -> Span {
         let task = self.task(id).expect("at a call");
-        let rest = (self.cost(task.stage, task.basis) - task.worked).max(0.0);
+        let rest = (self.cost(task.stage, task.basis) - task.worked).max(0.0) * REST_AT;
         let late = self.set.stages[task.stage].late_part > 0.0;
         let until = if late { task.limit } else { task.wanted };
         until - self.now - Span::from_secs(rest)
