--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,3 +72,8 @@
 pub use pcg::Pcg;
 pub use policy::Policy;
 pub use time::{Instant, Span};
+
+/// The README's example is compiled with the tests.
+#[cfg(doctest)]
+#[doc = include_str!("../README.md")]
+struct Readme;
