--- a/src/policy.rs
+++ b/src/policy.rs
@@ -23,8 +23,6 @@
 const COST_CLIP: f64 = 4.0;
 /// A cost not seen yet is taken for this share of the due time.
 const COST_UNSEEN: f64 = 1.0 / 8.0;
-/// A held task is given up when less than this share of its expected stay is left before it is due.
-const REFUSE_AT: f64 = 0.8;
 /// A call goes out while it leaves time for this share of what the run is expected to need still.
 const REST_AT: f64 = 0.5;
 /// Below this share of busy cores there is idle room; the gauge looks back over that span.
@@ -38,6 +36,8 @@
 const CALL_TRIES: u32 = 3;
 /// A customer's allowance, in seconds of this backend's part of the quota.
 const ALLOWANCE_SECS: f64 = 2.0;
+/// The free value lets in what keeps cores and calls busy, and so much more to choose from in the hold.
+const HELD_MORE: f64 = 2.0;
 /// Part of the shortest due time that the tasks let in by the free value may spend here.
 const FREE_STAY: f64 = 0.6;
 /// A caller that is itself a backend has spent part of the due time: this share is left for each tier below.
@@ -340,7 +340,7 @@
     fn refuse_at(&self, task: &Task) -> Instant {
         let crowd = ((self.load.on_cores + 1.0) / self.cores).max(1.0);
         let stay = self.cost(task.stage, task.basis) * crowd + self.rows[task.stage].waits;
-        task.wanted - Span::from_secs(stay * REFUSE_AT)
+        task.wanted - Span::from_secs(stay)
     }
 
     /// Whether the demand of one more task fits under the learned throughput; the cores bound it from below.
@@ -732,12 +732,15 @@
 
     /// The free value: how much should be sent here at all.
     fn free(&self) -> Option<f64> {
-        let work = self.rows.iter().map(|r| r.cost).sum::<f64>() / self.rows.len().max(1) as f64;
+        let mean =
+            |part: fn(&Row) -> f64| self.rows.iter().map(part).sum::<f64>() / self.rows.len().max(1) as f64;
+        let (cost, waits) = (mean(|r| r.cost).max(1e-6), mean(|r| r.waits));
         let due = self.set.stages.iter().map(|s| s.due.secs()).fold(f64::INFINITY, f64::min);
+        let stay = ((cost + waits) * HELD_MORE).min(due * FREE_STAY);
         // Reading costs work whatever is decided: tasks that lay unread say that too much is sent here.
         // Should catch every cause of that; harms after a mere pause, for as long as callers heed.
         let unread = (1.0 - self.unread / (self.mean_due * UNREAD_SHARE)).max(0.0);
-        let room = (self.cores / work.max(1e-6) * due * FREE_STAY).max(self.cores) * unread;
+        let room = (self.cores / cost * stay).max(self.cores) * unread;
         let full = (self.load.out + self.hold.len() as f64) / room.max(1.0);
         match self.set.free_value {
             FreeValue::Silent => None,
