--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,6 +40,8 @@
 const HELD_MORE: f64 = 2.0;
 /// ... but nothing that would stay for more than this share of the mean due time.
 const FREE_STAY: f64 = 0.3;
+/// Where the top utility is this many times the mean, twice as much is let in to choose from.
+const STANDS_OUT: f64 = 2.0;
 /// A caller that is itself a backend has spent part of the due time: this share is left for each tier below.
 const TIER_SHARE: f64 = 1.0 / 3.0;
 /// Tasks that lay unread for this share of the mean due time take all credit.
@@ -125,6 +127,8 @@
     cores: f64,
     period: Span,
     mean_due: f64,
+    /// Whether one utility stands so far out that callers kept away blindly cost more than reading does.
+    selective: bool,
     tasks: Vec<Option<Task>>,
     /// Held tasks and those standing at a call, the highest rate first.
     hold: BTreeSet<(u64, TaskId)>,
@@ -171,6 +175,8 @@
 impl Policy {
     /// A backend that starts now and knows only its settings.
     pub fn new(set: Settings, seed: u64, now: Instant) -> Self {
+        let (top, sum) =
+            set.stages.iter().fold((0.0_f64, 0.0), |(t, a), s| (t.max(s.utility), a + s.utility));
         let shortest = set.stages.iter().map(|s| s.due).min().unwrap_or_default();
         let row =
             |s: &StageSettings| Row { cost: s.due.secs() * COST_UNSEEN, basis: 1.0, waits: 0.0, seen: false };
@@ -181,6 +187,7 @@
             cores: f64::from(set.cores),
             period: (shortest * PERIOD).max(Span::from_millis(5)),
             mean_due: set.stages.iter().map(|s| s.due.secs()).sum::<f64>() / set.stages.len().max(1) as f64,
+            selective: top * set.stages.len() as f64 > sum * STANDS_OUT,
             tasks: Vec::new(),
             hold: BTreeSet::new(),
             standing: BTreeSet::new(),
@@ -375,10 +382,6 @@
         let mut limit = arrival.limit.unwrap_or(came + stage.limit) - early;
         limit = self.kill.map_or(limit, |(_, kill)| limit.min(kill - early));
         let basis = arrival.hint.map_or(1.0, |hint| hint.secs().max(1e-6));
-        let row = &mut self.rows[arrival.stage];
-        if arrival.hint.is_some() && !row.seen {
-            (row.cost, row.basis) = (basis, basis);
-        }
         let demand = (self.cost(arrival.stage, basis) / stage.due.secs().max(1e-3)).max(1e-9);
         let mut utility = stage.utility * if self.set.by_work { basis } else { 1.0 };
         let charged = arrival.customer.filter(|&c| self.allowances[c] >= 1.0);
@@ -464,8 +467,8 @@
         }
         task.call_tries += 1;
         let (took, owed) = (now - task.called, task.owed);
-        let again = task.effect == Effect::Restartable || outcome == CallOutcome::NeverRan;
-        let again = again && task.call_tries < CALL_TRIES;
+        let harmless = task.effect == Effect::Restartable || outcome == CallOutcome::NeverRan;
+        let again = harmless && task.call_tries < CALL_TRIES;
         if outcome == CallOutcome::Ok {
             self.window += 1.0 / self.window;
             self.call_time += (took.secs() - self.call_time) * GAIN;
@@ -619,7 +622,7 @@
         }
         self.held_cost = ahead;
         for id in hopeless {
-            self.too_late(id, false);
+            self.too_late(id, self.selective);
         }
     }
 
@@ -672,8 +675,7 @@
 
     /// A call that can't be had is left out where the stage allows it; else the task is settled.
     fn leave_out(&mut self, id: TaskId) {
-        let stage = self.inside(id).stage;
-        if self.set.stages[stage].skip_part > 0.0 {
+        if self.set.stages[self.task(id).expect("at a call").stage].skip_part > 0.0 {
             self.put(id, Place::OnCores);
             self.look(id);
         } else {
@@ -688,7 +690,6 @@
 
     /// Gives a task its final answer. What runs and can't be stopped goes on using the machine.
     fn end(&mut self, id: TaskId, answer: Action) {
-        let stoppable = self.set.stoppable;
         let task = self.inside(id);
         let effect_ran = task.ran && task.effect != Effect::Restartable;
         task.answer.get_or_insert(if effect_ran { Action::Abandon(id) } else { answer });
@@ -699,7 +700,7 @@
         match place {
             Place::Held | Place::Reusing => self.moved(id, Place::Over),
             Place::Standing => self.moved(id, Place::Ending),
-            Place::OnCores if stoppable => self.put(id, Place::Ending),
+            Place::OnCores if self.set.stoppable => self.put(id, Place::Ending),
             _ => self.changed.push(id),
         }
     }
@@ -719,10 +720,10 @@
 
     /// The free value: how much should be sent here at all.
     fn free(&self) -> Option<f64> {
-        let mean =
-            |part: fn(&Row) -> f64| self.rows.iter().map(part).sum::<f64>() / self.rows.len().max(1) as f64;
+        let mean = |of: fn(&Row) -> f64| self.rows.iter().map(of).sum::<f64>() / self.rows.len() as f64;
         let (cost, waits) = (mean(|r| r.cost).max(1e-6), mean(|r| r.waits));
-        let stay = ((cost + waits) * HELD_MORE).min(self.mean_due * FREE_STAY);
+        let narrow = ((cost + waits) * HELD_MORE).min(self.mean_due * FREE_STAY);
+        let stay = if self.selective { self.mean_due * FREE_STAY * 2.0 } else { narrow };
         // Reading costs work whatever is decided: tasks that lay unread say that too much is sent here.
         // Should catch every cause of that; harms after a mere pause, for as long as callers heed.
         let unread = (1.0 - self.unread / (self.mean_due * UNREAD_SHARE)).max(0.0);
@@ -736,21 +737,21 @@
             FreeValue::Weight => Some((1.5 - full).clamp(0.1, 1.0)),
             FreeValue::Credit => {
                 // Credit is told to each caller: the room is split by as many as send alike.
-                let (sum, squares) =
-                    self.callers.iter().fold((0.0, 0.0), |(a, b), (_, s)| (a + s, b + s * s));
-                let alike = if sum > 0.0 { sum * sum / squares } else { f64::from(self.set.callers) };
+                let sums = self.callers.iter().fold((0.0, 0.0), |(a, b), (_, s)| (a + s, b + s * s));
+                let alike = if sums.0 > 0.0 { sums.0 * sums.0 / sums.1 } else { f64::from(self.set.callers) };
                 Some((room / alike.max(1.0) * 4.0).round() / 4.0)
             }
         }
     }
 
-    /// How long a rejected caller should keep away: until the line is worked off, not all at one moment.
+    /// How long a rejected caller should keep away: until the line is worked off, not all at one moment. It
+    /// would keep its best tasks away too, so not at all where those stand out.
     fn hold_off(&mut self) -> Span {
         if self.kill.is_some() {
             return self.set.hold_off;
         }
-        let line = Span::from_secs(self.held_cost / self.cores + self.unread);
-        (line * (0.5 + self.chance.unit())).max(self.period).min(self.set.hold_off)
+        let line = if self.selective { 0.0 } else { self.held_cost / self.cores + self.unread };
+        (Span::from_secs(line) * (0.5 + self.chance.unit())).min(self.set.hold_off)
     }
 
     // --- The difference between what is wanted and what the host was told ---
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -372,3 +372,18 @@
     );
     assert!(host.did.iter().all(|a| matches!(a, Action::Timer(_))));
 }
+
+#[test]
+fn where_one_utility_stands_out_callers_are_not_kept_away() {
+    let mut set = Settings { free_value: FreeValue::Credit, ..settings() };
+    set.stages = vec![stage(1.0), stage(1.0), stage(10.0)];
+    let mut host = Host::new(set);
+    for _ in 0..41 {
+        host.plain(0, 0);
+    }
+    let told = host.did.iter().find_map(|a| match a {
+        Action::Reject { hold_off, terminal, .. } => Some((*hold_off, *terminal)),
+        _ => None,
+    });
+    assert_eq!(told, Some((Span::ZERO, true)), "tracking: settling was kept out with the rest");
+}
