--- a/src/policy.rs
+++ b/src/policy.rs
@@ -736,10 +736,11 @@
             FreeValue::Level => Some(((full - 1.0) / 2.0).clamp(0.0, 0.5)),
             FreeValue::Weight => Some((1.5 - full).clamp(0.1, 1.0)),
             FreeValue::Credit => {
-                // Credit is told to each caller: the room is split by as many as send alike.
+                // Told to each caller: the room is split by as many as send alike. One at least, as callers that
+                // send nothing hear nothing, forget what they were told, and come back all at once.
                 let sums = self.callers.iter().fold((0.0, 0.0), |(a, b), (_, s)| (a + s, b + s * s));
                 let alike = if sums.0 > 0.0 { sums.0 * sums.0 / sums.1 } else { f64::from(self.set.callers) };
-                Some((room / alike.max(1.0) * 4.0).round() / 4.0)
+                Some(((room / alike.max(1.0) * 4.0).round() / 4.0).max(1.0))
             }
         }
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -294,8 +294,8 @@
     for i in 0..20 {
         host.arrive(10 + i, 0, |a| a.unread = Span::from_millis(400));
     }
-    assert!(before > 0.0);
-    assert_eq!(host.credit, Some(0.0));
+    assert!(before > 1.0);
+    assert_eq!(host.credit, Some(1.0), "one, so that callers go on hearing it");
 }
 
 #[test]
