--- a/src/policy.rs
+++ b/src/policy.rs
@@ -745,8 +745,7 @@
         }
     }
 
-    /// How long a rejected caller should keep away: until the line is worked off, not all at one moment. It
-    /// would keep its best tasks away too, so not at all where those stand out.
+    /// How long a rejected caller should keep away: till the line is worked off, but not from what stands out.
     fn hold_off(&mut self) -> Span {
         if self.kill.is_some() {
             return self.set.hold_off;
