--- a/src/policy.rs
+++ b/src/policy.rs
@@ -736,8 +736,8 @@
             FreeValue::Level => Some(((full - 1.0) / 2.0).clamp(0.0, 0.5)),
             FreeValue::Weight => Some((1.5 - full).clamp(0.1, 1.0)),
             FreeValue::Credit => {
-                // Told to each caller: the room is split by as many as send alike. One at least, as callers that
-                // send nothing hear nothing, forget what they were told, and come back all at once.
+                // Told to each: the room is split by as many as send alike. One at least, as callers that send
+                // nothing hear nothing, forget what they were told, and come back all at once.
                 let sums = self.callers.iter().fold((0.0, 0.0), |(a, b), (_, s)| (a + s, b + s * s));
                 let alike = if sums.0 > 0.0 { sums.0 * sums.0 / sums.1 } else { f64::from(self.set.callers) };
                 Some(((room / alike.max(1.0) * 4.0).round() / 4.0).max(1.0))
@@ -745,7 +745,7 @@
         }
     }
 
-    /// How long a rejected caller should keep away: till the line is worked off, but not from what stands out.
+    /// How long a rejected caller should keep away: till the line is worked off; not from what stands out.
     fn hold_off(&mut self) -> Span {
         if self.kill.is_some() {
             return self.set.hold_off;
