--- a/src/policy.rs
+++ b/src/policy.rs
@@ -736,7 +736,7 @@
             FreeValue::Level => Some(((full - 1.0) / 2.0).clamp(0.0, 0.5)),
             FreeValue::Weight => Some((1.5 - full).clamp(0.1, 1.0)),
             FreeValue::Credit => {
-                // Told to each: the room is split by as many as send alike. One at least, as callers that send
+                // Told to each: the room is split by as many as send alike. One at least: callers that send
                 // nothing hear nothing, forget what they were told, and come back all at once.
                 let sums = self.callers.iter().fold((0.0, 0.0), |(a, b), (_, s)| (a + s, b + s * s));
                 let alike = if sums.0 > 0.0 { sums.0 * sums.0 / sums.1 } else { f64::from(self.set.callers) };
