--- a/src/policy.rs
+++ b/src/policy.rs
@@ -244,8 +244,6 @@
         self.emit(actions);
     }
 
-    // --- Accounts ---
-
     fn task(&self, id: TaskId) -> Option<&Task> {
         self.tasks.get(id.0 as usize)?.as_ref()
     }
@@ -336,13 +334,16 @@
         self.timed.insert((at, id));
     }
 
-    // --- What a task costs, when it is too late, what is survived ---
-
     /// Expected core time on this machine, in seconds.
     fn cost(&self, stage: usize, basis: f64) -> f64 {
         basis * self.rows[stage].cost / self.rows[stage].basis
     }
 
+    /// The paper's demand: expected cost over due time, in cores.
+    fn demand(&self, stage: usize, basis: f64) -> f64 {
+        (self.cost(stage, basis) / self.set.stages[stage].due.secs().max(1e-3)).max(1e-9)
+    }
+
     /// The point of refusal: a held task that starts later than this is not expected to be in time.
     fn refuse_at(&self, task: &Task) -> Instant {
         let crowd = ((self.load.on_cores + 1.0) / self.cores).max(1.0);
@@ -373,8 +374,6 @@
         until - self.now - Span::from_secs(rest)
     }
 
-    // --- Events ---
-
     fn arrived(&mut self, arrival: Arrival) {
         let stage = &self.set.stages[arrival.stage];
         let early = self.period * ANSWER_EARLY;
@@ -382,7 +381,7 @@
         let mut limit = arrival.limit.unwrap_or(came + stage.limit) - early;
         limit = self.kill.map_or(limit, |(_, kill)| limit.min(kill - early));
         let basis = arrival.hint.map_or(1.0, |hint| hint.secs().max(1e-6));
-        let demand = (self.cost(arrival.stage, basis) / stage.due.secs().max(1e-3)).max(1e-9);
+        let demand = self.demand(arrival.stage, basis);
         let mut utility = stage.utility * if self.set.by_work { basis } else { 1.0 };
         let charged = arrival.customer.filter(|&c| self.allowances[c] >= 1.0);
         match charged {
@@ -499,16 +498,15 @@
         self.moved(id, Place::Over);
         self.end(id, Action::Abandon(id));
         if measured {
-            self.learn(id);
+            self.learn_cost(id);
+            self.learn_throughput(self.task(id).expect("inside").demand);
         }
     }
 
-    /// Learns from a run that ended what its stage costs, with huge ones clipped, and, while the cores were
-    /// full, the throughput: the demand of as many tasks, of the kind that runs now, as have a core each.
-    /// Both fall and rise with what this machine gets done.
-    fn learn(&mut self, id: TaskId) {
+    /// Learns from a run that ended what its stage costs; huge ones are clipped.
+    fn learn_cost(&mut self, id: TaskId) {
         let task = self.task(id).expect("just ended");
-        let (stage, basis, worked, demand) = (task.stage, task.basis, task.worked, task.demand);
+        let (stage, basis, worked) = (task.stage, task.basis, task.worked);
         let waits = ((self.now - task.began).secs() - worked).max(0.0);
         let seen = worked.min(self.cost(stage, basis) * COST_CLIP);
         let row = &mut self.rows[stage];
@@ -517,6 +515,10 @@
         row.basis += (basis - row.basis) * gain;
         row.waits += (waits - row.waits) * gain;
         row.seen = true;
+    }
+
+    /// Learns the throughput while the cores are full: the demand of as many such tasks as have a core each.
+    fn learn_throughput(&mut self, demand: f64) {
         let (set, tasks) = (self.load.demand + demand, self.load.on_cores + 1.0);
         if tasks >= self.cores && !self.idle {
             self.throughput += (set * self.cores / tasks - self.throughput) * GAIN;
@@ -576,8 +578,6 @@
         }
     }
 
-    // --- Decisions ---
-
     /// SLICE's greedy selection: the highest rate first, until one no longer fits.
     fn select(&mut self) {
         while let Some(&(_, id)) = self.hold.first() {
@@ -705,8 +705,6 @@
         }
     }
 
-    // --- What callers are told ---
-
     /// Remembers which callers send how much, lately.
     fn note_caller(&mut self, caller: u64) {
         if !self.callers.iter().any(|&(known, _)| known == caller) {
@@ -754,8 +752,6 @@
         (Span::from_secs(line) * (0.5 + self.chance.unit())).min(self.set.hold_off)
     }
 
-    // --- The difference between what is wanted and what the host was told ---
-
     fn emit(&mut self, actions: &mut Vec<Action>) {
         let wanted = (Some(self.kill.is_none() && !self.stale), self.free());
         let told = std::mem::replace(&mut self.told, wanted);
