--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -387,3 +387,20 @@
     });
     assert_eq!(told, Some((Span::ZERO, true)), "tracking: settling was kept out with the rest");
 }
+
+#[test]
+fn good_calls_widen_the_window_by_one() {
+    let mut host = Host::new(Settings { below: Below::Tier, ..settings() });
+    let [a, b] = [0, 0].map(|stage| host.plain(0, stage));
+    host.happen(10, [Event::AtCall(a), Event::AtCall(b)]);
+    let [c, d] = [0, 0].map(|stage| host.plain(11, stage));
+    host.happen(12, [Event::AtCall(c)]);
+    assert!(!host.called(c), "the window is the core count at first");
+    for (ms, task) in [(20, a), (21, b), (22, c)] {
+        host.happen(ms, [Event::CallEnded(task, CallOutcome::Ok)]);
+    }
+    host.happen(30, [Event::AtCall(d)]);
+    host.happen(31, [Event::AtCall(a)]);
+    host.happen(32, [Event::AtCall(b)]);
+    assert!(host.called(b), "a third after one good round");
+}
