--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -80,7 +80,7 @@
     host.end(2010, running[0]);
     host.end(2011, running[1]);
     host.end(2012, TaskId(2));
-    assert!(host.ran(within), "the third of the heavy customer is worth a tenth");
+    assert!(host.ran(within), "the third of the heavy customer keeps a tenth of its utility");
 }
 
 #[test]
