Count callers by the likeness of sixteen arrivals, not by a list of all

Cause: remembering callers was a scan of all that are known, at each arrival; with up to 1,000 sidecars the work of an event grew with them. Now the last sixteen arrivals' callers are kept, and how often an arrival matches one of them tells how many callers send alike. The adapter marks a backend as touched instead of searching a list of all. Also: the gauge of open connections and an action to close idle ones, not used yet.

--- a/crates/lynxtally-adapter/src/backend.rs
+++ b/crates/lynxtally-adapter/src/backend.rs
@@ -12,6 +12,8 @@
     customers: Vec<String>,
     actions: Vec<Action>,
     broken: Option<String>,
+    /// Whether it had an event in this batch and has not decided yet.
+    pub touched: bool,
 }
 
 impl Backend {
@@ -19,7 +21,15 @@
         let stages = profile.lanes.iter().map(|lane| lane.name.clone()).collect();
         let customers = profile.orgs.iter().map(|org| org.name.clone()).collect();
         let policy = Policy::new(settings(profile)?, seed, now);
-        Ok(Self { door: Door::default(), policy, stages, customers, actions: Vec::new(), broken: None })
+        Ok(Self {
+            door: Door::default(),
+            policy,
+            stages,
+            customers,
+            actions: Vec::new(),
+            broken: None,
+            touched: false,
+        })
     }
 
     /// Passes one event to the policy. A task that has no index any more is over: nothing follows.
@@ -36,7 +46,9 @@
                 let outcome = call_outcome(status)?;
                 self.door.find(&xid).map(|task| Event::CallEnded(task, outcome))
             }
-            Incoming::Fired { stats, .. } => Some(Event::Timer(Gauges { cores_busy: stats.cpu_busy })),
+            Incoming::Fired { stats, .. } => {
+                Some(Event::Timer(Gauges { cores_busy: stats.cpu_busy, connections: stats.sockets }))
+            }
             Incoming::Quiesce { kill, .. } => Some(Event::Drain(kill.instant())),
             Incoming::Frame { .. } | Incoming::Eob | Incoming::Init { .. } | Incoming::Retire { .. } => None,
         };
@@ -213,6 +225,7 @@
             _ => FreeValue::Silent,
         },
         heeded: own.heeded_ms.span(),
+        idle_after: own.idle_ms.span(),
         share_for: own.share_for_ms.span(),
         hold_off: allowed.filter(|a| a.retry_after).map_or(Span::ZERO, |a| a.max_retry_after_ms.span()),
     })
--- a/crates/lynxtally-adapter/src/main.rs
+++ b/crates/lynxtally-adapter/src/main.rs
@@ -57,25 +57,26 @@
             }
             Incoming::Retire { i } => {
                 backends.remove(&i).ok_or_else(|| at(format!("instance {i} was never started")))?;
-                touched.retain(|&known| known != i);
             }
             Incoming::Init { i, seed, settings } => {
-                backends.insert(i, Backend::start(*settings, seed, now).map_err(at)?);
-                touch(&mut touched, i);
+                let mut backend = Backend::start(*settings, seed, now).map_err(at)?;
+                touch(&mut touched, i, &mut backend);
+                backends.insert(i, backend);
             }
             other => {
                 let i = other.instance();
                 let backend =
                     backends.get_mut(&i).ok_or_else(|| at(format!("instance {i} was never started")))?;
                 backend.take(now, other).map_err(at)?;
-                touch(&mut touched, i);
+                touch(&mut touched, i, backend);
             }
         }
     }
 }
 
-fn touch(touched: &mut Vec<u64>, i: u64) {
-    if !touched.contains(&i) {
+/// Notes that a backend has to decide, once a batch however many backends there are.
+fn touch(touched: &mut Vec<u64>, i: u64, backend: &mut Backend) {
+    if !std::mem::replace(&mut backend.touched, true) {
         touched.push(i);
     }
 }
@@ -92,7 +93,9 @@
         output.write_all(b"\n")
     };
     for i in touched.drain(..) {
-        if let Some(backend) = backends.get_mut(&i) {
+        // One that was stopped and started anew within the batch stands here twice, and decides once.
+        let Some(backend) = backends.get_mut(&i) else { continue };
+        if std::mem::take(&mut backend.touched) {
             backend.decide(i, now, &mut write)?;
         }
     }
--- a/crates/lynxtally-adapter/src/wire.rs
+++ b/crates/lynxtally-adapter/src/wire.rs
@@ -144,6 +144,7 @@
 #[derive(Debug, Default, Deserialize)]
 pub struct Stats {
     pub cpu_busy: Option<f64>,
+    pub sockets: Option<f64>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -233,6 +234,8 @@
     #[serde(default)]
     pub heeded_ms: Millis,
     #[serde(default)]
+    pub idle_ms: Millis,
+    #[serde(default)]
     pub kb_per_key: f64,
     #[serde(default)]
     pub linger_ms: Millis,
@@ -258,6 +261,7 @@
     Forget { i: u64, xid: &'a str },
     Readiness { i: u64, on: bool, cheap: bool },
     Advertise { i: u64, x: f64 },
+    Idle { i: u64, hold_for_ms: f64 },
     Timer { i: u64, mark: u64, from_now_ms: f64 },
     Print { i: u64, msg: &'a str },
     InternalError { i: u64, msg: &'a str },
@@ -289,6 +293,7 @@
         use lynxtally::Action::*;
         Some(match action {
             Health(on) => Self::Readiness { i, on: *on, cheap: true },
+            CloseIdle(span) => Self::Idle { i, hold_for_ms: millis(*span) },
             Say(x) => Self::Advertise { i, x: *x },
             Timer(span) => Self::Timer { i, mark: 0, from_now_ms: millis(*span) },
             Log(msg) => Self::Print { i, msg },
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -113,6 +113,8 @@
     pub free_value: FreeValue,
     /// How long callers remember it.
     pub heeded: Span,
+    /// After how long callers close connections that carry nothing; zero where that is not known.
+    pub idle_after: Span,
     /// How long a read's answer may serve other tasks; zero means never.
     pub share_for: Span,
     /// The longest advice to stay away that callers follow; zero where none is passed on.
@@ -184,6 +186,8 @@
 pub struct Gauges {
     /// The share of the cores that was busy over the last half second.
     pub cores_busy: Option<f64>,
+    /// Connections now open.
+    pub connections: Option<f64>,
 }
 
 /// What happened.
@@ -242,6 +246,8 @@
     Health(bool),
     /// Set the free value.
     Say(f64),
+    /// Close the connections that have carried nothing for so long.
+    CloseIdle(Span),
     /// Set the one timer.
     Timer(Span),
     /// A line for the log.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 //!     stoppable: false,
 //!     free_value: FreeValue::Silent,
 //!     heeded: Span::from_millis(1000),
+//!     idle_after: Span::ZERO,
 //!     share_for: Span::ZERO,
 //!     hold_off: Span::from_millis(1000),
 //! };
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,7 +7,7 @@
 //! `emit` works out the difference to what the host was told.
 
 use crate::*;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
 /// The timer's period, as a share of the shortest due time.
 const PERIOD: f64 = 1.0 / 40.0;
@@ -49,9 +49,11 @@
 /// Unread for this share of the mean due time, a node leaves the list, about within the next; and its return.
 const STALE: f64 = 0.3;
 const FRESH_AGAIN: f64 = 0.1;
-/// What one arrival moves the unread time, and the callers' shares.
+/// What one arrival moves the unread time, and the likeness of callers.
 const UNREAD_GAIN: f64 = 1.0 / 8.0;
 const CALLER_GAIN: f64 = 1.0 / 50.0;
+/// So many of the last arrivals' callers are kept to compare with.
+const CALLERS_KEPT: usize = 16;
 
 /// Where a task is, or is wanted to be.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -138,8 +140,9 @@
     changed: Vec<TaskId>,
     rows: Vec<Row>,
     allowances: Vec<f64>,
-    /// The callers' shares of late arrivals.
-    callers: Vec<(u64, f64)>,
+    /// The callers of the last arrivals, and how likely two arrivals are of one caller.
+    callers: VecDeque<u64>,
+    same_caller: f64,
     load: Load,
     /// Core time that a task running since the start would have had, in seconds.
     clock: f64,
@@ -195,7 +198,8 @@
             changed: Vec::new(),
             rows: set.stages.iter().map(row).collect(),
             allowances: vec![0.0; set.quotas.len()],
-            callers: Vec::new(),
+            callers: VecDeque::new(),
+            same_caller: 1.0 / f64::from(set.callers.max(1)),
             load: Load::default(),
             clock: 0.0,
             calls_mean: 0.0,
@@ -705,15 +709,14 @@
         }
     }
 
-    /// Remembers which callers send how much, lately.
+    /// Learns how many callers send alike: two arrivals are of one caller as often as there are few of them.
     fn note_caller(&mut self, caller: u64) {
-        if !self.callers.iter().any(|&(known, _)| known == caller) {
-            self.callers.push((caller, 0.0));
+        let alike = self.callers.iter().filter(|&&known| known == caller).count() as f64;
+        if self.callers.len() == CALLERS_KEPT {
+            self.same_caller += (alike / CALLERS_KEPT as f64 - self.same_caller) * CALLER_GAIN;
+            self.callers.pop_front();
         }
-        for (known, share) in &mut self.callers {
-            *share += (f64::from(u8::from(*known == caller)) - *share) * CALLER_GAIN;
-        }
-        self.callers.retain(|&(_, share)| share > CALLER_GAIN * CALLER_GAIN);
+        self.callers.push_back(caller);
     }
 
     /// The free value: how much should be sent here at all.
@@ -736,9 +739,7 @@
             FreeValue::Credit => {
                 // Told to each: the room is split by as many as send alike. One at least: callers that send
                 // nothing hear nothing, forget what they were told, and come back all at once.
-                let sums = self.callers.iter().fold((0.0, 0.0), |(a, b), (_, s)| (a + s, b + s * s));
-                let alike = if sums.0 > 0.0 { sums.0 * sums.0 / sums.1 } else { f64::from(self.set.callers) };
-                Some(((room / alike.max(1.0) * 4.0).round() / 4.0).max(1.0))
+                Some(((room * self.same_caller * 4.0).round() / 4.0).max(1.0))
             }
         }
     }
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -38,6 +38,7 @@
         stoppable: false,
         free_value: FreeValue::Silent,
         heeded: Span::from_millis(1000),
+        idle_after: Span::ZERO,
         share_for: Span::ZERO,
         hold_off: Span::from_millis(1000),
     }
@@ -118,7 +119,7 @@
     }
 
     pub fn tick(&mut self, ms: u64, busy: f64) {
-        self.happen(ms, [Event::Timer(Gauges { cores_busy: Some(busy) })]);
+        self.happen(ms, [Event::Timer(Gauges { cores_busy: Some(busy), ..Gauges::default() })]);
     }
 
     pub fn ran(&self, task: TaskId) -> bool {
