Judge a customer's share by likelihood, mix near ties, and stay on the list when stale

Now the utility is multiplied by the part that the customer is expected to keep: quota here over what it sends and is not rejected. It answered the symptom that the credit's cut answers too; taken out. The cut of credit should still catch any backlog; it harms after a mere pause.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -34,8 +34,8 @@
 const CALL_SLOW: f64 = 4.0;
 /// Tries of one call at most.
 const CALL_TRIES: u32 = 3;
-/// A customer's allowance, in seconds of this backend's part of the quota.
-const ALLOWANCE_SECS: f64 = 2.0;
+/// What a customer sends is averaged over so many mean due times.
+const SENT_OVER: f64 = 5.0;
 /// The free value lets in what keeps cores and calls busy, and so much more to choose from in the hold.
 const HELD_MORE: f64 = 2.0;
 /// ... but nothing that would stay for more than this share of the mean due time.
@@ -46,9 +46,6 @@
 const TIER_SHARE: f64 = 1.0 / 3.0;
 /// Tasks that lay unread for this share of the mean due time take all credit.
 const UNREAD_SHARE: f64 = 0.25;
-/// Unread for this share of the mean due time, a node leaves the list, about within the next; and its return.
-const STALE: f64 = 0.3;
-const FRESH_AGAIN: f64 = 0.1;
 /// What one arrival moves the unread time, and the likeness of callers.
 const UNREAD_GAIN: f64 = 1.0 / 8.0;
 const CALLER_GAIN: f64 = 1.0 / 50.0;
@@ -75,8 +72,7 @@
 struct Task {
     stage: usize,
     effect: Effect,
-    /// The customer whose allowance it took from.
-    charged: Option<usize>,
+    customer: Option<usize>,
     /// Until when an answer earns what the rate says, and until when one is owed.
     wanted: Instant,
     limit: Instant,
@@ -139,7 +135,8 @@
     timed: BTreeSet<(Instant, TaskId)>,
     changed: Vec<TaskId>,
     rows: Vec<Row>,
-    allowances: Vec<f64>,
+    /// What each customer sends here that is not rejected, in tasks a second.
+    sent: Vec<f64>,
     /// The callers of the last arrivals, and how likely two arrivals are of one caller.
     callers: VecDeque<u64>,
     same_caller: f64,
@@ -159,9 +156,8 @@
     call_time: f64,
     /// Expected core time of all that is held, in seconds.
     held_cost: f64,
-    /// How long tasks lie unread lately, in seconds, and whether that is too long to be on the list.
+    /// How long tasks lie unread lately, in seconds.
     unread: f64,
-    stale: bool,
     /// Leaving: what arrives after the first point is not run; the kill comes at the second.
     kill: Option<(Instant, Instant)>,
     /// Health and free value as the host was last told; whether the timer has to be set again.
@@ -197,7 +193,7 @@
             timed: BTreeSet::new(),
             changed: Vec::new(),
             rows: set.stages.iter().map(row).collect(),
-            allowances: vec![0.0; set.quotas.len()],
+            sent: set.quotas.iter().map(|quota| quota / f64::from(set.backends.max(1))).collect(),
             callers: VecDeque::new(),
             same_caller: 1.0 / f64::from(set.callers.max(1)),
             load: Load::default(),
@@ -211,7 +207,6 @@
             call_time: 0.0,
             held_cost: 0.0,
             unread: 0.0,
-            stale: false,
             kill: None,
             told: (None, None),
             timer_wanted: true,
@@ -266,10 +261,8 @@
             let keep = (-past / over.secs().max(1e-3)).exp();
             self.calls_mean = self.calls_mean * keep + self.load.calling * (1.0 - keep);
         }
-        for (have, quota) in self.allowances.iter_mut().zip(&self.set.quotas) {
-            let part = quota / f64::from(self.set.backends.max(1));
-            *have = (*have + part * past).min(part * ALLOWANCE_SECS);
-        }
+        let keep = (-past / (self.mean_due * SENT_OVER)).exp();
+        self.sent.iter_mut().for_each(|rate| *rate *= keep);
         self.unread *= (-past / self.set.heeded.secs().max(1e-3)).exp();
     }
 
@@ -379,6 +372,7 @@
     }
 
     fn arrived(&mut self, arrival: Arrival) {
+        let part = arrival.customer.map_or(1.0, |customer| self.expected_part(customer));
         let stage = &self.set.stages[arrival.stage];
         let early = self.period * ANSWER_EARLY;
         let came = self.now - arrival.unread;
@@ -386,12 +380,7 @@
         limit = self.kill.map_or(limit, |(_, kill)| limit.min(kill - early));
         let basis = arrival.hint.map_or(1.0, |hint| hint.secs().max(1e-6));
         let demand = self.demand(arrival.stage, basis);
-        let mut utility = stage.utility * if self.set.by_work { basis } else { 1.0 };
-        let charged = arrival.customer.filter(|&c| self.allowances[c] >= 1.0);
-        match charged {
-            Some(c) => self.allowances[c] -= 1.0,
-            None => utility *= if arrival.customer.is_some() { self.set.over_share } else { 1.0 },
-        }
+        let utility = stage.utility * part * if self.set.by_work { basis } else { 1.0 };
         let due = came + stage.due * TIER_SHARE.powi(self.set.depth as i32);
         let (effect, window) = (stage.effect, stage.repeat_window);
         let id = arrival.task;
@@ -401,12 +390,13 @@
         self.tasks[id.0 as usize] = Some(Task {
             stage: arrival.stage,
             effect,
-            charged,
+            customer: arrival.customer,
             wanted: due.min(limit),
             limit,
             kb: arrival.kb,
             basis,
-            rate: utility / demand * (1.0 + arrival.place * 1e-6),
+            // Chance mixes rates within a factor of two: else a stage a little dearer than its like is cut whole.
+            rate: utility / demand * (1.0 + self.chance.unit()),
             demand,
             told: Place::Held,
             owed: true,
@@ -445,6 +435,16 @@
         self.look_at(id, at);
     }
 
+    /// The part of its utility that a customer's task is expected to keep. What is beyond a share carries no
+    /// mark, and of hundreds of backends each sees few tasks of a customer: the likelihood of being within is
+    /// the quota here over what the customer sends here and is not rejected.
+    fn expected_part(&mut self, customer: usize) -> f64 {
+        let quota = self.set.quotas[customer] / f64::from(self.set.backends.max(1));
+        self.sent[customer] += 1.0 / (self.mean_due * SENT_OVER);
+        let within = (quota / self.sent[customer]).min(1.0);
+        within + (1.0 - within) * self.set.over_share
+    }
+
     fn caller_gone(&mut self, id: TaskId) {
         let task = self.inside(id);
         task.owed = false;
@@ -531,7 +531,6 @@
 
     fn timer(&mut self, gauges: Gauges) {
         self.timer_wanted = true;
-        self.judge_staleness();
         if self.load.on_cores < self.cores {
             return self.full_since = None;
         }
@@ -553,19 +552,6 @@
         }
     }
 
-    /// Callers whose tries time out while they lie unread never hear the free value; only the list of servers
-    /// still reaches them. A node that can only read what is stale leaves it, each by chance, so that one
-    /// common cause does not take all at once. Should catch any backlog; harms while no other node has room.
-    fn judge_staleness(&mut self) {
-        let (was, stale) = (self.stale, self.mean_due * STALE);
-        let leave = self.unread > stale && self.chance.unit() < self.period.secs() / stale;
-        self.stale = if was { self.unread > self.mean_due * FRESH_AGAIN } else { leave };
-        if was != self.stale {
-            let what = if was { "back on the list" } else { "off the list" };
-            self.logs.push(format!("{what}: tasks lie unread for {:.0} ms", self.unread * 1e3));
-        }
-    }
-
     fn drain(&mut self, kill: Instant) {
         let early = self.period * ANSWER_EARLY;
         self.kill = Some((self.now + self.set.drain_grace - early, kill));
@@ -697,9 +683,9 @@
         let task = self.inside(id);
         let effect_ran = task.ran && task.effect != Effect::Restartable;
         task.answer.get_or_insert(if effect_ran { Action::Abandon(id) } else { answer });
-        let (place, charged) = (task.place, task.charged.take_if(|_| !task.ran));
-        if let Some(c) = charged {
-            self.allowances[c] += 1.0;
+        let (place, customer) = (task.place, task.customer.take_if(|_| !task.ran));
+        if let Some(c) = customer {
+            self.sent[c] = (self.sent[c] - 1.0 / (self.mean_due * SENT_OVER)).max(0.0);
         }
         match place {
             Place::Held | Place::Reusing => self.moved(id, Place::Over),
@@ -754,7 +740,7 @@
     }
 
     fn emit(&mut self, actions: &mut Vec<Action>) {
-        let wanted = (Some(self.kill.is_none() && !self.stale), self.free());
+        let wanted = (Some(self.kill.is_none()), self.free());
         let told = std::mem::replace(&mut self.told, wanted);
         actions.extend(wanted.0.filter(|_| told.0 != wanted.0).map(Action::Health));
         actions.extend(wanted.1.filter(|_| told.1 != wanted.1).map(Action::Say));
