--- a/src/policy.rs
+++ b/src/policy.rs
@@ -612,7 +612,11 @@
         }
         self.held_cost = ahead;
         for id in hopeless {
-            self.too_late(id, self.selective);
+            // What the others will do can't be seen; while reading is behind here it most likely is there too,
+            // and a rejected try that walks on is read by each. Should catch every jam of readings; harms
+            // where only this node is behind, by what the others had room for.
+            let terminal = self.selective || self.chance.unit() < self.behind();
+            self.too_late(id, terminal);
         }
     }
 
@@ -705,6 +709,11 @@
         self.callers.push_back(caller);
     }
 
+    /// How far reading is behind, from 0 to 1, by the time that tasks lay unread.
+    fn behind(&self) -> f64 {
+        (self.unread / (self.mean_due * UNREAD_SHARE)).min(1.0)
+    }
+
     /// The free value: how much should be sent here at all.
     fn free(&self) -> Option<f64> {
         let mean = |of: fn(&Row) -> f64| self.rows.iter().map(of).sum::<f64>() / self.rows.len() as f64;
@@ -713,8 +722,7 @@
         let stay = if self.selective { self.mean_due * FREE_STAY * 2.0 } else { narrow };
         // Reading costs work whatever is decided: tasks that lay unread say that too much is sent here.
         // Should catch every cause of that; harms after a mere pause, for as long as callers heed.
-        let unread = (1.0 - self.unread / (self.mean_due * UNREAD_SHARE)).max(0.0);
-        let room = (self.cores / cost * stay).max(self.cores) * unread;
+        let room = (self.cores / cost * stay).max(self.cores) * (1.0 - self.behind());
         let full = (self.load.out + self.hold.len() as f64) / room.max(1.0);
         match self.set.free_value {
             FreeValue::Silent => None,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -315,6 +315,21 @@
     assert_eq!(host.credit, Some(1.0), "one, so that callers go on hearing it");
 }
 
+#[test]
+fn while_reading_is_behind_a_rejected_try_is_told_not_to_walk_on() {
+    let last_word = |unread| {
+        let mut host = Host::new(settings());
+        for i in 0..60 {
+            host.arrive(i, 0, |a| a.unread = Span::from_millis(unread));
+        }
+        host.did
+            .iter()
+            .find_map(|a| if let Action::Reject { terminal, .. } = a { Some(*terminal) } else { None })
+    };
+    assert_eq!(last_word(1), Some(false), "a line here, but others may have room");
+    assert_eq!(last_word(400), Some(true), "signing: each try was read by four nodes that all were behind");
+}
+
 #[test]
 fn a_hasty_time_out_does_not_cut_the_window() {
     let mut host = Host::new(Settings { cores: 6, below: Below::Tier, ..settings() });
