A marked further try that is rejected does not walk on

Cause: signing's sidecars mark further tries and the interface dropped the mark; half of what jammed nodes read was marked.

--- a/crates/lynxtally-adapter/src/backend.rs
+++ b/crates/lynxtally-adapter/src/backend.rs
@@ -107,6 +107,7 @@
             Some(earlier) => self.door.find(earlier).map_or(Repeat::OfReleased, Repeat::Of),
         };
         const HINTED: u64 = 1;
+        const FURTHER: u64 = 2;
         Ok(Arrival {
             task: self.door.enter(&inbound.xid),
             stage,
@@ -115,6 +116,7 @@
             hint: inbound.effort_ms.filter(|_| inbound.opts & HINTED != 0).map(|ms| ms.span()),
             unread: inbound.lay_ms.span(),
             limit: inbound.not_after_ms.map(|ms| ms.instant()).filter(|&at| at > Instant::from_micros(0)),
+            further: inbound.opts & FURTHER != 0,
             repeat,
             shareable: inbound.item.as_ref().is_some_and(|item| item.given().is_some()),
             kb: inbound.footprint,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -149,6 +149,8 @@
     pub unread: Span,
     /// When the caller gives this try up, where told.
     pub limit: Option<Instant>,
+    /// Whether it is marked as a further try.
+    pub further: bool,
     /// What it repeats.
     pub repeat: Repeat,
     /// Whether it concerns something named that other tasks may share.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,7 @@
 //!     hint: None,
 //!     unread: Span::ZERO,
 //!     limit: None,
+//!     further: false,
 //!     repeat: Repeat::No,
 //!     shareable: false,
 //!     kb: 16.0,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -73,6 +73,7 @@
     stage: usize,
     effect: Effect,
     customer: Option<usize>,
+    further: bool,
     /// Until when an answer earns what the rate says, and until when one is owed.
     wanted: Instant,
     limit: Instant,
@@ -391,6 +392,7 @@
             stage: arrival.stage,
             effect,
             customer: arrival.customer,
+            further: arrival.further,
             wanted: due.min(limit),
             limit,
             kb: arrival.kb,
@@ -615,7 +617,9 @@
             // What the others will do can't be seen; while reading is behind here it most likely is there too,
             // and a rejected try that walks on is read by each. Should catch every jam of readings; harms
             // where only this node is behind, by what the others had room for.
-            let terminal = self.selective || self.chance.unit() < self.behind();
+            let terminal = self.selective
+                || self.task(id).is_some_and(|t| t.further)
+                || self.chance.unit() < self.behind();
             self.too_late(id, terminal);
         }
     }
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -94,6 +94,7 @@
             hint: None,
             unread: Span::ZERO,
             limit: None,
+            further: false,
             repeat: Repeat::No,
             shareable: false,
             kb: 10.0,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -330,6 +330,15 @@
     assert_eq!(last_word(400), Some(true), "signing: each try was read by four nodes that all were behind");
 }
 
+#[test]
+fn a_marked_further_try_does_not_walk_on() {
+    let mut host = Host::new(settings());
+    for i in 0..60 {
+        host.arrive(i, 0, |a| a.further = true);
+    }
+    assert!(host.did.iter().any(|a| matches!(a, Action::Reject { terminal: true, .. })));
+}
+
 #[test]
 fn a_hasty_time_out_does_not_cut_the_window() {
     let mut host = Host::new(Settings { cores: 6, below: Below::Tier, ..settings() });
