--- a/src/policy.rs
+++ b/src/policy.rs
@@ -17,14 +17,14 @@
 const CEILING: f64 = 0.85;
 /// The part of the shared dependency's survivable calls that is used at most, in the mean.
 const CALLS_CEILING: f64 = 0.8;
-/// What one ended run moves the learned cost and throughput.
+/// What one ended run moves the learned cost and throughput, and one arrival the likeness of callers.
 const GAIN: f64 = 1.0 / 16.0;
 /// A run counts for at most this many times what was expected, so that few huge ones can't fool the mean.
 const COST_CLIP: f64 = 4.0;
+/// Held for this share of the time until its refusal, a task keeps half its rate.
+const FRESH: f64 = 0.3;
 /// A cost not seen yet is taken for this share of the due time.
 const COST_UNSEEN: f64 = 1.0 / 8.0;
-/// A call goes out while it leaves time for this share of what the run is expected to need still.
-const REST_AT: f64 = 0.5;
 /// Below this share of busy cores there is idle room; the gauge looks back over that span.
 const IDLE: f64 = 0.92;
 const GAUGE_SPAN: Span = Span::from_millis(500);
@@ -46,9 +46,8 @@
 const TIER_SHARE: f64 = 1.0 / 3.0;
 /// Tasks that lay unread for this share of the mean due time take all credit.
 const UNREAD_SHARE: f64 = 0.25;
-/// What one arrival moves the unread time, and the likeness of callers.
+/// What one arrival moves the unread time.
 const UNREAD_GAIN: f64 = 1.0 / 8.0;
-const CALLER_GAIN: f64 = 1.0 / 50.0;
 /// So many of the last arrivals' callers are kept to compare with.
 const CALLERS_KEPT: usize = 16;
 
@@ -74,6 +73,7 @@
     effect: Effect,
     customer: Option<usize>,
     further: bool,
+    doubtful: bool,
     /// Until when an answer earns what the rate says, and until when one is owed.
     wanted: Instant,
     limit: Instant,
@@ -363,13 +363,12 @@
             && self.load.out + 1.0 <= crowd * CEILING
     }
 
-    /// How long a call may take so that the rest of the run is still in time.
+    /// How long a call may take before its task is late.
     fn call_room(&self, id: TaskId) -> Span {
         let task = self.task(id).expect("at a call");
-        let rest = (self.cost(task.stage, task.basis) - task.worked).max(0.0) * REST_AT;
         let late = self.set.stages[task.stage].late_part > 0.0;
         let until = if late { task.limit } else { task.wanted };
-        until - self.now - Span::from_secs(rest)
+        until - self.now
     }
 
     fn arrived(&mut self, arrival: Arrival) {
@@ -397,7 +396,7 @@
             limit,
             kb: arrival.kb,
             basis,
-            // Chance mixes rates within a factor of two: else a stage a little dearer than its like is cut whole.
+            // Chance mixes rates within a factor of two: else a stage a little dearer than its like is cut.
             rate: utility / demand * (1.0 + self.chance.unit()),
             demand,
             told: Place::Held,
@@ -433,7 +432,7 @@
                 return self.reject(id, false);
             }
         }
-        let at = self.refuse_at(self.task(id).expect("just put"));
+        let at = self.now + (self.refuse_at(self.task(id).expect("just put")) - self.now) * FRESH;
         self.look_at(id, at);
     }
 
@@ -538,17 +537,11 @@
         }
         let since = *self.full_since.get_or_insert(self.now);
         self.idle = gauges.cores_busy.is_some_and(|busy| busy < IDLE) && self.now - since > GAUGE_SPAN;
-        if self.idle {
-            self.use_idle_room();
-            self.full_since = Some(self.now);
-        }
-    }
-
-    /// The idle-room exception: the gauge shows free cores though the set is full, so the best held task
-    /// starts without the fit test, and the learned throughput rises to what now runs.
-    fn use_idle_room(&mut self) {
-        let Some(&(_, id)) = self.hold.first() else { return };
+        // The idle-room exception: the gauge shows free cores though the set is full, so the best held task
+        // starts without the fit test, and the learned throughput rises to what now runs.
+        let Some(&(_, id)) = self.hold.first().filter(|_| self.idle) else { return };
         if self.survives(self.task(id).expect("held").kb) {
+            self.full_since = Some(self.now);
             self.start(id);
             self.throughput = self.throughput.max(self.load.demand);
         }
@@ -557,9 +550,8 @@
     fn drain(&mut self, kill: Instant) {
         let early = self.period * ANSWER_EARLY;
         self.kill = Some((self.now + self.set.drain_grace - early, kill));
-        let ids: Vec<TaskId> = self.timed.iter().map(|&(_, id)| id).collect();
         self.logs.push(format!("leaving: {:.0} tasks to answer", self.load.out + self.hold.len() as f64));
-        for id in ids {
+        for (_, id) in self.timed.clone() {
             let task = self.inside(id);
             if task.place != Place::Over {
                 task.limit = task.limit.min(kill - early);
@@ -614,12 +606,11 @@
         }
         self.held_cost = ahead;
         for id in hopeless {
-            // What the others will do can't be seen; while reading is behind here it most likely is there too,
+            // What others will do can't be seen; while reading is behind here it most likely is there too,
             // and a rejected try that walks on is read by each. Should catch every jam of readings; harms
             // where only this node is behind, by what the others had room for.
-            let terminal = self.selective
-                || self.task(id).is_some_and(|t| t.further)
-                || self.chance.unit() < self.behind();
+            let walked = self.task(id).is_some_and(|task| task.further);
+            let terminal = self.selective || walked || self.chance.unit() < self.behind();
             self.too_late(id, terminal);
         }
     }
@@ -632,15 +623,19 @@
         if part <= 0.0 || task.wanted >= task.limit {
             return self.reject(id, terminal);
         }
-        let (before, after) = (task.rate, task.rate * part);
-        self.hold.remove(&(order(before), id));
-        self.hold.insert((order(after), id));
-        let task = self.inside(id);
-        (task.rate, task.wanted) = (after, task.limit);
+        self.cut_rate(id, part);
+        self.inside(id).wanted = self.inside(id).limit;
         let at = self.refuse_at(self.task(id).expect("held"));
         self.look_at(id, at.max(self.now));
     }
 
+    fn cut_rate(&mut self, id: TaskId, part: f64) {
+        let before = self.task(id).expect("held").rate;
+        self.hold.remove(&(order(before), id));
+        self.hold.insert((order(before * part), id));
+        self.inside(id).rate = before * part;
+    }
+
     /// Looks at a task whose time has come.
     fn look(&mut self, id: TaskId) {
         let Some(task) = self.task(id) else { return };
@@ -648,7 +643,14 @@
         let end_at = if self.set.stoppable { task.wanted } else { task.limit };
         match task.place {
             Place::Over => self.changed.push(id),
-            Place::Held if refuse_at > self.now => self.look_at(id, refuse_at),
+            // Of tasks alike the one with time in hand is surer to be in time, while one held long may well
+            // come late and waste its run. Should catch any long hold; harms where costs never stray.
+            Place::Held if refuse_at > self.now => {
+                if !std::mem::replace(&mut self.inside(id).doubtful, true) {
+                    self.cut_rate(id, 0.5);
+                }
+                self.look_at(id, refuse_at);
+            }
             Place::Held => self.too_late(id, true),
             Place::Standing => self.leave_out(id),
             _ if self.now < end_at => self.look_at(id, end_at),
@@ -706,11 +708,11 @@
     /// Learns how many callers send alike: two arrivals are of one caller as often as there are few of them.
     fn note_caller(&mut self, caller: u64) {
         let alike = self.callers.iter().filter(|&&known| known == caller).count() as f64;
-        if self.callers.len() == CALLERS_KEPT {
-            self.same_caller += (alike / CALLERS_KEPT as f64 - self.same_caller) * CALLER_GAIN;
+        self.callers.push_back(caller);
+        if self.callers.len() > CALLERS_KEPT {
             self.callers.pop_front();
+            self.same_caller += (alike / CALLERS_KEPT as f64 - self.same_caller) * GAIN;
         }
-        self.callers.push_back(caller);
     }
 
     /// How far reading is behind, from 0 to 1, by the time that tasks lay unread.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -339,6 +339,24 @@
     assert!(host.did.iter().any(|a| matches!(a, Action::Reject { terminal: true, .. })));
 }
 
+#[test]
+fn a_task_held_for_long_stands_behind_a_fresh_one() {
+    let mut host = Host::new(settings());
+    let quick = host.plain(0, 0);
+    host.end(20, quick);
+    let running = [host.plain(20, 0), host.plain(20, 0)];
+    let stale = host.plain(21, 0);
+    host.tick(600, 1.0);
+    let fresh = host.plain(610, 0);
+    host.end(620, running[0]);
+    assert!(
+        host.ran(fresh) && !host.ran(stale),
+        "tracking: a third of the runs were cut off at their due time"
+    );
+    host.end(630, running[1]);
+    assert!(host.ran(stale));
+}
+
 #[test]
 fn a_hasty_time_out_does_not_cut_the_window() {
     let mut host = Host::new(Settings { cores: 6, below: Below::Tier, ..settings() });
