--- a/src/policy.rs
+++ b/src/policy.rs
@@ -32,7 +32,7 @@
 const WINDOW_CUT: f64 = 0.7;
 /// A call that failed after this many times the usual time counts as crowding.
 const CALL_SLOW: f64 = 4.0;
-/// Tries of one call at most.
+/// Tries of one call at most that may have run; a rejected one costs far less than the run it would waste.
 const CALL_TRIES: u32 = 3;
 /// What a customer sends is averaged over so many mean due times.
 const SENT_OVER: f64 = 5.0;
@@ -345,8 +345,10 @@
     /// The point of refusal: a held task that starts later than this is not expected to be in time.
     fn refuse_at(&self, task: &Task) -> Instant {
         let crowd = ((self.load.on_cores + 1.0) / self.cores).max(1.0);
-        let stay = self.cost(task.stage, task.basis) * crowd + self.rows[task.stage].waits;
-        task.wanted - Span::from_secs(stay)
+        // Behind a line at the calls the cores' work would be wasted: it counts as the line of the held does.
+        let calls = if self.set.stages[task.stage].calls { self.standing.len() as f64 } else { 0.0 };
+        let waits = self.rows[task.stage].waits + calls * self.call_time / self.window;
+        task.wanted - Span::from_secs(self.cost(task.stage, task.basis) * crowd + waits)
     }
 
     /// Whether the demand of one more task fits under the learned throughput; the cores bound it from below.
@@ -469,7 +471,7 @@
         if task.place != Place::Calling {
             return;
         }
-        task.call_tries += 1;
+        task.call_tries += u32::from(outcome != CallOutcome::NeverRan);
         let (took, owed) = (now - task.called, task.owed);
         let harmless = task.effect == Effect::Restartable || outcome == CallOutcome::NeverRan;
         let again = harmless && task.call_tries < CALL_TRIES;
@@ -562,7 +564,7 @@
         }
     }
 
-    /// SLICE's greedy selection: the highest rate first, until one no longer fits.
+    /// SLICE's greedy selection: the highest rate first, until one no longer fits. Memory bounds the hold.
     fn select(&mut self) {
         while let Some(&(_, id)) = self.hold.first() {
             let task = self.task(id).expect("held");
@@ -577,7 +579,6 @@
             }
             self.start(id);
         }
-        // The hold itself has to fit into memory: the lowest rates go first.
         while self.load.kb > self.set.memory_kb * CEILING {
             let Some(&(_, id)) = self.hold.last() else { break };
             self.reject(id, false);
@@ -606,9 +607,8 @@
         }
         self.held_cost = ahead;
         for id in hopeless {
-            // What others will do can't be seen; while reading is behind here it most likely is there too,
-            // and a rejected try that walks on is read by each. Should catch every jam of readings; harms
-            // where only this node is behind, by what the others had room for.
+            // Where reading is behind here it most likely is elsewhere: a try that walks on is read by each.
+            // Should catch every jam of readings; harms where only this node is behind.
             let walked = self.task(id).is_some_and(|task| task.further);
             let terminal = self.selective || walked || self.chance.unit() < self.behind();
             self.too_late(id, terminal);
@@ -643,8 +643,8 @@
         let end_at = if self.set.stoppable { task.wanted } else { task.limit };
         match task.place {
             Place::Over => self.changed.push(id),
-            // Of tasks alike the one with time in hand is surer to be in time, while one held long may well
-            // come late and waste its run. Should catch any long hold; harms where costs never stray.
+            // What was held long may come late and waste its run: of tasks alike the fresh one goes first.
+            // Should catch any long hold; harms where costs never stray.
             Place::Held if refuse_at > self.now => {
                 if !std::mem::replace(&mut self.inside(id).doubtful, true) {
                     self.cut_rate(id, 0.5);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -157,15 +157,43 @@
         let mut host = Host::new(set);
         let task = host.plain(0, 0);
         host.happen(10, [Event::AtCall(task)]);
-        for ms in [20, 30, 40] {
-            assert!(host.called(task));
+        for ms in [20, 30, 40, 50, 60] {
+            assert!(host.called(task), "signing: a rejected call was given up with the run's work");
             host.happen(ms, [Event::CallEnded(task, CallOutcome::NeverRan)]);
         }
+        for ms in [70, 80, 90] {
+            assert!(host.called(task));
+            host.happen(ms, [Event::CallEnded(task, CallOutcome::MayHaveRun)]);
+        }
         assert_eq!(host.did.contains(&Action::Skip(task)), skip_part > 0.0);
         assert_eq!(host.abandoned(task), skip_part == 0.0);
     }
 }
 
+#[test]
+fn behind_a_line_at_the_calls_a_task_is_refused() {
+    for stand in [0, 2] {
+        let mut host = Host::new(Settings { below: Below::Tier, ..settings() });
+        for i in 0..40 {
+            // Calls take 300 ms; then some are rejected, which cuts the window to one.
+            let outcome = if i < 30 { CallOutcome::Ok } else { CallOutcome::NeverRan };
+            let task = host.plain(i * 500, 0);
+            host.happen(i * 500 + 10, [Event::AtCall(task)]);
+            host.happen(i * 500 + 310, [Event::CallEnded(task, outcome)]);
+            host.end(i * 500 + 320, task);
+        }
+        for _ in 0..1 + stand {
+            let task = host.plain(20_000, 0);
+            host.happen(20_000, [Event::AtCall(task)]);
+        }
+        let running = [host.plain(20_001, 0), host.plain(20_001, 0)];
+        let next = host.plain(20_002, 0);
+        host.tick(20_250, 1.0);
+        assert_eq!(host.rejected(next), stand > 0, "signing: runs were cut off at calls they could not have");
+        assert_eq!(running.len(), 2);
+    }
+}
+
 #[test]
 fn a_tier_below_has_part_of_the_due_time() {
     let mut host = Host::new(Settings { depth: 1, ..settings() });
