--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -202,6 +202,23 @@
     assert!(host.rejected(held), "its caller is a backend that has given up by then");
 }
 
+#[test]
+fn a_share_under_one_call_lets_one_out_at_a_time_and_rarely() {
+    let below = Below::Shared { calls: 0.5, over: Span::from_millis(5000), linger: Span::from_millis(200) };
+    let mut host = Host::new(Settings { below, cores: 1, ..settings() });
+    let mut let_go = 0;
+    for i in 0..50 {
+        let task = host.plain(i * 100, 0);
+        host.happen(i * 100 + 1, [Event::AtCall(task)]);
+        if host.called(task) {
+            let_go += 1;
+            host.happen(i * 100 + 90, [Event::CallEnded(task, CallOutcome::Ok)]);
+        }
+        host.end(i * 100 + 95, task);
+    }
+    assert!((20..48).contains(&let_go), "about four tenths of a call in the mean: {let_go} of 90 ms in 5 s");
+}
+
 // --- Rule 1: no task lost ---
 
 #[test]
@@ -475,3 +492,19 @@
     host.happen(32, [Event::AtCall(b)]);
     assert!(host.called(b), "a third after one good round");
 }
+
+#[test]
+fn hundreds_of_callers_are_told_a_credit_of_one() {
+    let set = Settings { free_value: FreeValue::Credit, callers: 900, cores: 1, ..settings() };
+    let mut host = Host::new(set);
+    for i in 0..900 {
+        host.arrive(i * 30, 0, |a| a.caller = i);
+        host.end(i * 30 + 20, TaskId(i as u32));
+    }
+    assert_eq!(host.credit, Some(1.0));
+    for i in 900..1200 {
+        host.arrive(i * 30, 0, |a| a.caller = 7);
+        host.end(i * 30 + 20, TaskId(i as u32));
+    }
+    assert!(host.credit > Some(1.0), "one caller is left, and the room is its own");
+}
