A marked further try has spent twice what tasks lie unread here

Should also catch clients that ask again after a time-out; harms a further try after a quick rejection while reading is behind. The story fails without the clause.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -36,18 +36,18 @@
 const CALL_TRIES: u32 = 3;
 /// What a customer sends is averaged over so many mean due times.
 const SENT_OVER: f64 = 5.0;
-/// The free value lets in what keeps cores and calls busy, and so much more to choose from in the hold.
+/// The free value lets in so many times what keeps cores and calls busy; none to stay for this share of due.
 const HELD_MORE: f64 = 2.0;
-/// ... but nothing that would stay for more than this share of the mean due time.
 const FREE_STAY: f64 = 0.3;
 /// Where the top utility is this many times the mean, twice as much is let in to choose from.
 const STANDS_OUT: f64 = 2.0;
 /// A caller that is itself a backend has spent part of the due time: this share is left for each tier below.
 const TIER_SHARE: f64 = 1.0 / 3.0;
-/// Tasks that lay unread for this share of the mean due time take all credit.
+/// Unread for this share of the mean due time, reading is fully behind; what one arrival moves that.
 const UNREAD_SHARE: f64 = 0.25;
-/// What one arrival moves the unread time.
 const UNREAD_GAIN: f64 = 1.0 / 8.0;
+/// So many attempts a marked further try has behind it.
+const TRIED: f64 = 2.0;
 /// So many of the last arrivals' callers are kept to compare with.
 const CALLERS_KEPT: usize = 16;
 
@@ -248,7 +248,6 @@
         self.tasks.get(id.0 as usize)?.as_ref()
     }
 
-    /// A task that is known to be inside.
     fn inside(&mut self, id: TaskId) -> &mut Task {
         self.tasks[id.0 as usize].as_mut().expect("a task that is inside")
     }
@@ -368,8 +367,7 @@
     /// How long a call may take before its task is late.
     fn call_room(&self, id: TaskId) -> Span {
         let task = self.task(id).expect("at a call");
-        let late = self.set.stages[task.stage].late_part > 0.0;
-        let until = if late { task.limit } else { task.wanted };
+        let until = if self.set.stages[task.stage].late_part > 0.0 { task.limit } else { task.wanted };
         until - self.now
     }
 
@@ -383,7 +381,9 @@
         let basis = arrival.hint.map_or(1.0, |hint| hint.secs().max(1e-6));
         let demand = self.demand(arrival.stage, basis);
         let utility = stage.utility * part * if self.set.by_work { basis } else { 1.0 };
-        let due = came + stage.due * TIER_SHARE.powi(self.set.depth as i32);
+        // A marked further try has lain unread elsewhere, each time about as long as is usual here.
+        let spent = Span::from_secs(if arrival.further { self.unread * TRIED } else { 0.0 });
+        let due = came + (stage.due * TIER_SHARE.powi(self.set.depth as i32) - spent);
         let (effect, window) = (stage.effect, stage.repeat_window);
         let id = arrival.task;
         if self.tasks.len() <= id.0 as usize {
@@ -737,8 +737,8 @@
             FreeValue::Level => Some(((full - 1.0) / 2.0).clamp(0.0, 0.5)),
             FreeValue::Weight => Some((1.5 - full).clamp(0.1, 1.0)),
             FreeValue::Credit => {
-                // Told to each: the room is split by as many as send alike. One at least: callers that send
-                // nothing hear nothing, forget what they were told, and come back all at once.
+                // Told to each of as many as send alike. One at least: who sends nothing hears nothing,
+                // forgets what it was told, and all come back at once.
                 Some(((room * self.same_caller * 4.0).round() / 4.0).max(1.0))
             }
         }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -402,6 +402,22 @@
     assert!(host.ran(stale));
 }
 
+#[test]
+fn a_marked_further_try_has_spent_what_tasks_lie_unread() {
+    for (further, late) in [(false, false), (true, true)] {
+        let mut host = Host::new(settings());
+        for i in 0..20 {
+            let task = host.arrive(i * 20, 0, |a| a.unread = Span::from_millis(400));
+            host.end(i * 20 + 10, task);
+        }
+        let running = [host.plain(400, 0), host.plain(400, 0)];
+        let try_again = host.arrive(401, 0, |a| a.further = further);
+        host.tick(980, 1.0);
+        assert_eq!(host.rejected(try_again), late, "signing: its client had given up");
+        assert_eq!(running.len(), 2);
+    }
+}
+
 #[test]
 fn a_hasty_time_out_does_not_cut_the_window() {
     let mut host = Host::new(Settings { cores: 6, below: Below::Tier, ..settings() });
