--- a/src/policy.rs
+++ b/src/policy.rs
@@ -23,6 +23,8 @@
 const COST_CLIP: f64 = 4.0;
 /// Held for this share of the time until its refusal, a task keeps half its rate.
 const FRESH: f64 = 0.3;
+/// The line ahead of a held task may last this share of the mean due time.
+const LINE: f64 = 0.15;
 /// A cost not seen yet is taken for this share of the due time.
 const COST_UNSEEN: f64 = 1.0 / 8.0;
 /// Below this share of busy cores there is idle room; the gauge looks back over that span.
@@ -167,7 +169,6 @@
     logs: Vec<String>,
 }
 
-/// Sorts the highest rate first.
 fn order(rate: f64) -> u64 {
     !rate.max(0.0).to_bits()
 }
@@ -324,7 +325,6 @@
         self.inside(id).told = place;
     }
 
-    /// Sets when to look at a task again.
     fn look_at(&mut self, id: TaskId, at: Instant) {
         let before = std::mem::replace(&mut self.inside(id).look, at);
         self.timed.remove(&(before, id));
@@ -592,14 +592,15 @@
         self.look(id);
     }
 
-    /// The refusal point sees the line too: what stands behind more work than can be done before its due time
+    /// The refusal point sees the line too: what stands behind a long one, or more than can be done in time,
     /// is rejected now, while another backend may be in time, and its caller hears the free value. Should
     /// catch slow cores and backlogs of any cause; harms where the expected cost is too high.
     fn judge_line(&mut self) {
         let (mut ahead, mut hopeless) = (0.0, Vec::new());
         for &(_, id) in &self.hold {
             let task = self.task(id).expect("held");
-            if self.now + Span::from_secs(ahead / self.cores) > self.refuse_at(task) {
+            let line = Span::from_secs(ahead / self.cores);
+            if line.secs() > self.mean_due * LINE || self.now + line > self.refuse_at(task) {
                 hopeless.push(id);
             } else {
                 ahead += self.cost(task.stage, task.basis);
@@ -636,7 +637,6 @@
         self.inside(id).rate = before * part;
     }
 
-    /// Looks at a task whose time has come.
     fn look(&mut self, id: TaskId) {
         let Some(task) = self.task(id) else { return };
         let refuse_at = self.refuse_at(task);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -88,10 +88,14 @@
     let mut set = settings();
     set.stages[1].utility = 1.1;
     let mut host = Host::new(set);
-    let mut running = vec![host.plain(0, 0), host.plain(0, 0)];
-    let line: Vec<_> = (0..12).map(|i| host.plain(1, i % 2)).collect();
+    for stage in [0, 1] {
+        let quick = host.plain(stage as u64, stage);
+        host.end(stage as u64 + 1, quick);
+    }
+    let mut running = vec![host.plain(3, 0), host.plain(3, 0)];
+    let line: Vec<_> = (0..12).map(|i| host.plain(4, i % 2)).collect();
     let mut seen = [0, 0];
-    for ms in [10, 20, 30, 40, 50, 60] {
+    for ms in [10, 12, 14, 16, 18, 20] {
         host.end(ms, running.remove(0));
         let started = line.iter().position(|&task| host.ran(task)).expect("one that starts");
         seen[started % 2] += 1;
@@ -418,6 +422,18 @@
     }
 }
 
+#[test]
+fn the_line_is_kept_short() {
+    let mut host = Host::new(settings());
+    let mut rejected = Vec::new();
+    for i in 0..8 {
+        host.plain(0, 0);
+        rejected.push((0..=i).any(|task| host.rejected(TaskId(task))));
+    }
+    let three_held = [false, false, false, false, false, true, true, true];
+    assert_eq!(rejected, three_held, "books: of a line that could just be served in time the last came late");
+}
+
 #[test]
 fn a_hasty_time_out_does_not_cut_the_window() {
     let mut host = Host::new(Settings { cores: 6, below: Below::Tier, ..settings() });
