--- a/crates/lynxtally-adapter/src/backend.rs
+++ b/crates/lynxtally-adapter/src/backend.rs
@@ -1,7 +1,8 @@
 //! One backend: its door, its policy, and the translation between wire and interface.
 
-use crate::wire::{Idempotency, Inbound, Incoming, Outgoing, Profile};
+use crate::wire::{Inbound, Incoming, Outgoing};
 use lynxtally::*;
+use lynxtally_settings::Declared;
 use std::io;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
@@ -17,13 +18,12 @@
 }
 
 impl Backend {
-    pub fn start(profile: Profile, seed: u64, now: Instant) -> Result<Self, String> {
-        let stages = profile.lanes.iter().map(|lane| lane.name.clone()).collect();
-        let customers = profile.orgs.iter().map(|org| org.name.clone()).collect();
-        let policy = Policy::new(settings(profile)?, seed, now);
+    pub fn start(settings: serde_json::Value, seed: u64, now: Instant) -> Result<Self, String> {
+        let read = lynxtally_settings::read(settings).map_err(|fault| format!("settings: {fault}"))?;
+        let Declared { settings, stages, customers, .. } = read;
         Ok(Self {
             door: Door::default(),
-            policy,
+            policy: Policy::new(settings, seed, now),
             stages,
             customers,
             actions: Vec::new(),
@@ -161,74 +161,3 @@
         other => Err(format!("field `status`: {other} is no outcome of a call")),
     }
 }
-
-/// The settings in the project's words, or what makes no sense about them.
-fn settings(profile: Profile) -> Result<Settings, String> {
-    let Profile { lanes, orgs, specifics: own, rules, allowed, over_share_worth, servers, tier, worth_by } =
-        profile;
-    if own.cores == 0 {
-        return Err("settings: `specifics.cores` is 0".into());
-    }
-    if lanes.is_empty() {
-        return Err("settings: `lanes` is empty".into());
-    }
-    if own.ram_kb <= 0.0 || own.blowup <= 0.0 {
-        return Err("settings: `specifics.ram-kb` and `specifics.blowup` must be above 0".into());
-    }
-    let stage = |(at, lane): (usize, &crate::wire::Lane)| StageSettings {
-        utility: lane.importance,
-        late_part: lane.late_worth,
-        due: lane.promise_ms.span(),
-        limit: lane.deadline_ms.span(),
-        effect: match lane.idempotency {
-            Idempotency::Pure => Effect::Restartable,
-            Idempotency::Token => Effect::Fingerprinted,
-            Idempotency::SideEffect => Effect::SideEffecting,
-        },
-        repeat_window: lane.dedup_window_ms.span(),
-        calls: own.class_calls.get(at).copied().unwrap_or(false),
-        skip_part: own.class_skip_worth.get(at).copied().unwrap_or(0.0),
-    };
-    let stages: Vec<StageSettings> = lanes.iter().enumerate().map(stage).collect();
-    if let Some(at) = stages.iter().position(|s| s.due == Span::ZERO || s.limit == Span::ZERO) {
-        return Err(format!("settings: class {:?} has no `promise-ms` or no `deadline-ms`", lanes[at].name));
-    }
-    Ok(Settings {
-        cores: own.cores,
-        memory_kb: own.ram_kb,
-        run_memory: own.blowup,
-        key_kb: own.kb_per_key,
-        cold: own.cold,
-        cold_share: rules.cold_share,
-        warm_after: rules.warm_after_ms.span(),
-        crowd_limit: rules.fall_multiple,
-        drain_grace: rules.drain_grace_ms.span(),
-        stages,
-        quotas: orgs.iter().map(|org| org.quota_per_s).collect(),
-        over_share: over_share_worth,
-        by_work: worth_by.as_deref() == Some("work"),
-        backends: servers.unwrap_or(1),
-        callers: own.upstreams.unwrap_or(1),
-        depth: tier,
-        below: match own.below.as_deref() {
-            Some("shared") => Below::Shared {
-                calls: own.calls_out,
-                over: own.calls_over_ms.span(),
-                linger: own.linger_ms.span(),
-            },
-            Some("tier") => Below::Tier,
-            _ => Below::Nothing,
-        },
-        stoppable: matches!(own.stop_mode.as_deref(), Some("drop" | "pause")),
-        free_value: match own.say.as_deref() {
-            Some("level") => FreeValue::Level,
-            Some("credit") => FreeValue::Credit,
-            Some("weight") => FreeValue::Weight,
-            _ => FreeValue::Silent,
-        },
-        heeded: own.heeded_ms.span(),
-        idle_after: own.idle_ms.span(),
-        share_for: own.share_for_ms.span(),
-        hold_off: allowed.filter(|a| a.retry_after).map_or(Span::ZERO, |a| a.max_retry_after_ms.span()),
-    })
-}
--- a/crates/lynxtally-adapter/src/main.rs
+++ b/crates/lynxtally-adapter/src/main.rs
@@ -39,7 +39,8 @@
             continue;
         }
         let at = |fault: String| format!("line {number}: {fault}");
-        let incoming: Incoming = serde_json::from_slice(&line).map_err(|e| at(wire::plain(&e)))?;
+        let incoming: Incoming =
+            serde_json::from_slice(&line).map_err(|e| at(lynxtally_settings::plain(&e)))?;
         let now = match (&incoming, clock) {
             (Incoming::Frame { now }, None) => {
                 clock = Some(now.instant());
@@ -59,7 +60,7 @@
                 backends.remove(&i).ok_or_else(|| at(format!("instance {i} was never started")))?;
             }
             Incoming::Init { i, seed, settings } => {
-                let mut backend = Backend::start(*settings, seed, now).map_err(at)?;
+                let mut backend = Backend::start(settings, seed, now).map_err(at)?;
                 touch(&mut touched, i, &mut backend);
                 backends.insert(i, backend);
             }
--- a/crates/lynxtally-adapter/src/wire.rs
+++ b/crates/lynxtally-adapter/src/wire.rs
@@ -1,28 +1,8 @@
 //! The messages as they stand on the wire.
 
-use lynxtally::{Instant, Span};
+use lynxtally_settings::Millis;
 use serde::{Deserialize, Serialize};
 
-/// A time on the wire, in milliseconds with fractions.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
-pub struct Millis(f64);
-
-impl Millis {
-    /// As a point on the clock.
-    pub fn instant(self) -> Instant {
-        Instant::from_micros((self.0 * 1000.0).round().max(0.0) as u64)
-    }
-
-    /// As a length of time.
-    pub fn span(self) -> Span {
-        Span::from_micros((self.0 * 1000.0).round().max(0.0) as u64)
-    }
-}
-
-fn millis(span: Span) -> f64 {
-    span.micros() as f64 / 1000.0
-}
-
 /// The number that stands where there is no name.
 #[derive(Debug, Deserialize)]
 #[serde(try_from = "u64")]
@@ -65,7 +45,7 @@
         #[serde(rename = "init-seed")]
         seed: u64,
         #[serde(rename = "profile-data")]
-        settings: Box<Profile>,
+        settings: serde_json::Value,
     },
     Inbound(Box<Inbound>),
     Abandoned {
@@ -147,122 +127,22 @@
     pub sockets: Option<f64>,
 }
 
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Profile {
-    pub lanes: Vec<Lane>,
-    #[serde(default)]
-    pub orgs: Vec<Org>,
-    pub specifics: Specifics,
-    pub rules: Rules,
-    pub allowed: Option<Allowed>,
-    #[serde(default = "one")]
-    pub over_share_worth: f64,
-    pub servers: Option<u32>,
-    #[serde(default)]
-    pub tier: u32,
-    pub worth_by: Option<String>,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Lane {
-    pub name: String,
-    pub importance: f64,
-    #[serde(default)]
-    pub late_worth: f64,
-    pub promise_ms: Millis,
-    pub deadline_ms: Millis,
-    pub idempotency: Idempotency,
-    #[serde(default)]
-    pub dedup_window_ms: Millis,
-}
-
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Idempotency {
-    Pure,
-    Token,
-    SideEffect,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Org {
-    pub name: String,
-    pub quota_per_s: f64,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Allowed {
-    #[serde(default)]
-    pub max_retry_after_ms: Millis,
-    #[serde(default)]
-    pub retry_after: bool,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Rules {
-    pub cold_share: f64,
-    pub drain_grace_ms: Millis,
-    pub fall_multiple: f64,
-    pub warm_after_ms: Millis,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Specifics {
-    pub below: Option<String>,
-    pub blowup: f64,
-    #[serde(default)]
-    pub calls_out: f64,
-    #[serde(default)]
-    pub calls_over_ms: Millis,
-    #[serde(default)]
-    pub class_calls: Vec<bool>,
-    #[serde(default)]
-    pub class_skip_worth: Vec<f64>,
-    #[serde(default)]
-    pub cold: bool,
-    pub cores: u32,
-    #[serde(default)]
-    pub heeded_ms: Millis,
-    #[serde(default)]
-    pub idle_ms: Millis,
-    #[serde(default)]
-    pub kb_per_key: f64,
-    #[serde(default)]
-    pub linger_ms: Millis,
-    pub ram_kb: f64,
-    pub say: Option<String>,
-    #[serde(default)]
-    pub share_for_ms: Millis,
-    pub stop_mode: Option<String>,
-    pub upstreams: Option<u32>,
-}
-
 #[derive(Debug, Serialize)]
 #[serde(tag = "type", rename_all = "kebab-case", rename_all_fields = "kebab-case")]
 pub enum Outgoing<'a> {
     Serve { i: u64, xid: &'a str },
     Interrupt { i: u64, xid: &'a str },
-    Busy { i: u64, xid: &'a str, hold_off_ms: f64, terminal: bool },
+    Busy { i: u64, xid: &'a str, hold_off_ms: Millis, terminal: bool },
     Error { i: u64, xid: &'a str },
-    ReachOut { i: u64, xid: &'a str, try_for_ms: f64 },
+    ReachOut { i: u64, xid: &'a str, try_for_ms: Millis },
     Degrade { i: u64, xid: &'a str },
     AnswerFrom { i: u64, xid: &'a str },
-    RecordKey { i: u64, xid: &'a str, hold_for_ms: f64 },
+    RecordKey { i: u64, xid: &'a str, hold_for_ms: Millis },
     Forget { i: u64, xid: &'a str },
     Readiness { i: u64, on: bool, cheap: bool },
     Advertise { i: u64, x: f64 },
-    Idle { i: u64, hold_for_ms: f64 },
-    Timer { i: u64, mark: u64, from_now_ms: f64 },
+    Idle { i: u64, hold_for_ms: Millis },
+    Timer { i: u64, mark: u64, from_now_ms: Millis },
     Print { i: u64, msg: &'a str },
     InternalError { i: u64, msg: &'a str },
     Yield,
@@ -276,13 +156,13 @@
             Run(_) => Self::Serve { i, xid },
             Stop(_) => Self::Interrupt { i, xid },
             Reject { hold_off, terminal, .. } => {
-                Self::Busy { i, xid, hold_off_ms: millis(*hold_off), terminal: *terminal }
+                Self::Busy { i, xid, hold_off_ms: Millis::from(*hold_off), terminal: *terminal }
             }
             Abandon(_) => Self::Error { i, xid },
-            Call { time_out, .. } => Self::ReachOut { i, xid, try_for_ms: millis(*time_out) },
+            Call { time_out, .. } => Self::ReachOut { i, xid, try_for_ms: Millis::from(*time_out) },
             Skip(_) => Self::Degrade { i, xid },
             Reuse(_) => Self::AnswerFrom { i, xid },
-            Keep(_, span) => Self::RecordKey { i, xid, hold_for_ms: millis(*span) },
+            Keep(_, span) => Self::RecordKey { i, xid, hold_for_ms: Millis::from(*span) },
             Forget(_) => Self::Forget { i, xid },
             _ => return None,
         })
@@ -293,20 +173,11 @@
         use lynxtally::Action::*;
         Some(match action {
             Health(on) => Self::Readiness { i, on: *on, cheap: true },
-            CloseIdle(span) => Self::Idle { i, hold_for_ms: millis(*span) },
+            CloseIdle(span) => Self::Idle { i, hold_for_ms: Millis::from(*span) },
             Say(x) => Self::Advertise { i, x: *x },
-            Timer(span) => Self::Timer { i, mark: 0, from_now_ms: millis(*span) },
+            Timer(span) => Self::Timer { i, mark: 0, from_now_ms: Millis::from(*span) },
             Log(msg) => Self::Print { i, msg },
             _ => return None,
         })
     }
 }
-
-/// What serde has against a line, without its own count of lines.
-pub fn plain(fault: &serde_json::Error) -> String {
-    let text = fault.to_string();
-    match text.rsplit_once(" at line ") {
-        Some((what, _)) => what.to_owned(),
-        None => text,
-    }
-}
--- /dev/null
+++ b/crates/lynxtally-node/src/config.rs
@@ -0,0 +1,115 @@
+//! What a node is told when it starts: read, checked and given defaults here and nowhere else.
+
+use lynxtally_settings::{decode, Declared, Fault};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// All that a node is told.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where sidecars connect.
+    pub listen: SocketAddr,
+    /// Where the kernel is.
+    pub kernel: SocketAddr,
+    /// Where the control plane is.
+    pub control: SocketAddr,
+    /// Where the ledger is.
+    pub ledger: SocketAddr,
+    /// Where chance starts from.
+    pub seed: u64,
+    /// How long after the notice to leave it is killed.
+    pub stop: Duration,
+    /// How many descriptors it may hold.
+    pub sockets: usize,
+    /// The settings of the decisions, and the names in them.
+    pub declared: Declared,
+}
+
+/// The file as it stands. Unknown keys are ignored.
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    kernel: String,
+    control: String,
+    ledger: String,
+    #[serde(default)]
+    seed: String,
+    #[serde(default = "stop_ms")]
+    stop_ms: u64,
+    #[serde(default)]
+    limits: Limits,
+    settings: serde_json::Value,
+}
+
+fn stop_ms() -> u64 {
+    3000
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    #[serde(default = "sockets")]
+    sockets: usize,
+}
+
+fn sockets() -> usize {
+    1024
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { sockets: sockets() }
+    }
+}
+
+/// Fewer descriptors than this leave no room for kernel, ledger, control plane and files.
+const SOCKETS_LEAST: usize = 64;
+
+/// Reads a configuration. What `own` says of name and listening address (the environment's word) goes before
+/// what the file says.
+pub fn read(text: &str, own: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
+    let json: serde_json::Value =
+        serde_json::from_str(text).map_err(|fault| Fault::new("", format!("no JSON: {fault}")))?;
+    let file: File = decode(json)?;
+    let missing = |key: &str| Fault::new(key, "is missing; a text is expected");
+    let name = own("RELAY_NAME").or(file.name).ok_or_else(|| missing("name"))?;
+    if name.is_empty() || name.contains(char::is_whitespace) {
+        return Err(Fault::new("name", format!("is {name:?}; one word is expected")));
+    }
+    let listen = own("RELAY_LISTEN").or(file.listen).ok_or_else(|| missing("listen"))?;
+    let address = |key: &str, text: &str| -> Result<SocketAddr, Fault> {
+        let what = format!("is {text:?}; an address such as 127.0.0.1:8443 is expected");
+        text.parse().map_err(|_| Fault::new(key, what))
+    };
+    let seed = file.seed.trim_start_matches("0x");
+    let seed = if seed.is_empty() { Ok(0) } else { u64::from_str_radix(seed, 16) }
+        .map_err(|_| Fault::new("seed", format!("is {:?}; up to 16 hex digits are expected", file.seed)))?;
+    if file.stop_ms == 0 {
+        return Err(Fault::new("stop_ms", "is 0; a time above 0 is expected"));
+    }
+    if file.limits.sockets < SOCKETS_LEAST {
+        let what = format!("is {}; at least {SOCKETS_LEAST} are expected", file.limits.sockets);
+        return Err(Fault::new("limits.sockets", what));
+    }
+    let mut declared =
+        lynxtally_settings::read(file.settings).map_err(|fault| match fault.path.as_str() {
+            "" | "." => Fault::new("settings", fault.what),
+            path => Fault::new(format!("settings.{path}"), fault.what),
+        })?;
+    // The kernel knows no command for a call left out, so leaving one out earns nothing here.
+    declared.settings.stages.iter_mut().for_each(|stage| stage.skip_part = 0.0);
+    Ok(Config {
+        name,
+        listen: address("listen", &listen)?,
+        kernel: address("kernel", &file.kernel)?,
+        control: address("control", &file.control)?,
+        ledger: address("ledger", &file.ledger)?,
+        seed,
+        stop: Duration::from_millis(file.stop_ms),
+        sockets: file.limits.sockets,
+        declared,
+    })
+}
--- /dev/null
+++ b/crates/lynxtally-node/src/ledger.rs
@@ -0,0 +1,228 @@
+//! Calls to the ledger that all nodes share: a few kept connections, one call at a time on each. A call is made once;
+//! whether it is made again is decided elsewhere.
+
+use crate::counters::Counters;
+use crate::decide::Heard;
+use crate::end::End;
+use crate::http::{self, Message, Reply};
+use crate::wire::{self, Filled, Line, Outbox};
+use lynxtally::{CallOutcome, Span};
+use may::sync::mpsc::Sender;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tracing::debug;
+
+/// The ledger closes connections that are idle for twice as long; ours go first, so that none is closed in use.
+const IDLE: Duration = Duration::from_secs(5);
+const STACK_WORDS: usize = 0x2000;
+
+/// One call.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The task that it is made for.
+    pub id: String,
+    /// Which of the node's calls this is.
+    pub number: u64,
+    /// How long it may take.
+    pub time_out: Span,
+    /// What the kernel gave for it.
+    pub body: Vec<u8>,
+}
+
+/// What a connection is told.
+#[derive(Clone, Debug)]
+pub enum Order {
+    /// Make this call.
+    Make(Call),
+    /// Give the call with this number up.
+    GiveUp(u64),
+    /// Close if there is nothing to do.
+    Close,
+}
+
+/// How a call ended: with a reply, or with its connection.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Ended {
+    /// The ledger replied.
+    Replied(Reply),
+    /// No whole reply came.
+    Without {
+        /// How the connection ended.
+        end: End,
+        /// Whether any byte of the call was written.
+        written: bool,
+    },
+}
+
+impl Ended {
+    /// What the module is told.
+    pub fn outcome(&self) -> CallOutcome {
+        match self {
+            Self::Replied(Reply { status: 200, .. }) => CallOutcome::Ok,
+            Self::Replied(Reply { untouched: true, .. }) => CallOutcome::NeverRan,
+            Self::Replied(_) => CallOutcome::MayHaveRun,
+            Self::Without { end, written } => end.call_outcome(*written),
+        }
+    }
+}
+
+/// A connection, as the owner knows it.
+pub type Handle = Arc<Outbox<Order>>;
+
+/// The connections to the ledger.
+pub struct Ledger {
+    at: SocketAddr,
+    idle: Mutex<Vec<(Instant, Handle)>>,
+    owner: Sender<Heard>,
+    counters: Arc<Counters>,
+}
+
+impl Ledger {
+    /// A ledger to which nothing is connected yet.
+    pub fn new(at: SocketAddr, owner: Sender<Heard>, counters: Arc<Counters>) -> Self {
+        Self { at, idle: Mutex::default(), owner, counters }
+    }
+
+    /// Has a call made on a kept connection, or on a new one. The answer comes by message.
+    pub fn call(self: &Arc<Self>, call: Call) -> Option<Handle> {
+        self.counters.calls.add();
+        loop {
+            let kept = wire::lock(&self.idle).pop();
+            let Some((_, handle)) = kept else { break };
+            if handle.push(Order::Make(call.clone())) {
+                return Some(handle);
+            }
+        }
+        let handle = Handle::default();
+        handle.push(Order::Make(call.clone()));
+        let (ledger, own) = (self.clone(), handle.clone());
+        let (owner, id, number) = (self.owner.clone(), call.id, call.number);
+        let failed = move |text: String| {
+            tracing::error!(id, text, "a call's coroutine failed");
+            let ended = Ended::Without { end: End::Failed, written: true };
+            // The owner outlives its calls.
+            let _ = owner.send(Heard::Called { id, number, ended });
+        };
+        wire::spawn(STACK_WORDS, move || ledger.serve(&own), failed).ok().map(|_| handle)
+    }
+
+    /// Closes the connections that were idle for long.
+    pub fn close_idle(&self) {
+        let mut idle = wire::lock(&self.idle);
+        idle.retain(|(since, handle)| since.elapsed() < IDLE || !handle.push(Order::Close));
+    }
+
+    /// One connection: its calls, one after another.
+    fn serve(&self, handle: &Handle) {
+        let mut line = None;
+        while let Some(order) = handle.take() {
+            let Order::Make(call) = order else { continue };
+            let (ended, kept) = self.make(&call, line.take(), handle);
+            line = kept;
+            let Call { id, number, .. } = call;
+            if self.owner.send(Heard::Called { id, number, ended }).is_err() {
+                break;
+            }
+            let Some(held) = &line else { break };
+            handle.attach(held);
+            wire::lock(&self.idle).push((Instant::now(), handle.clone()));
+            if self.rest(line.as_mut(), handle).is_some() {
+                // A call that came meanwhile finds a connection of its own.
+                line = None;
+                handle.detach();
+                wire::lock(&self.idle).retain(|(_, other)| !Arc::ptr_eq(other, handle));
+            }
+        }
+        handle.detach();
+        // An order that came between the last look and now is not lost: it never ran.
+        for order in handle.close() {
+            if let Order::Make(Call { id, number, .. }) = order {
+                let ended = Ended::Without { end: End::Closed, written: false };
+                let _ = self.owner.send(Heard::Called { id, number, ended });
+            }
+        }
+    }
+
+    /// Waits for the next call; tells the end of the connection where it ends first.
+    fn rest(&self, line: Option<&mut Line>, handle: &Handle) -> Option<End> {
+        let line = line?;
+        let mut stray = Vec::new();
+        loop {
+            match line.fill(&mut stray, 1) {
+                Ok(Filled::All) if stray.is_empty() => {}
+                Ok(Filled::All) => return Some(self.ended(End::Garbled)),
+                Ok(Filled::End) => return Some(self.ended(End::Closed)),
+                Err(end) => return Some(self.ended(end)),
+            }
+            match handle.peek(|order| matches!(order, Order::Make(_))) {
+                Some(true) => return None,
+                Some(false) => {
+                    if let Some(Order::Close) = handle.take() {
+                        return Some(self.ended(End::Idle));
+                    }
+                }
+                None => line.wait(),
+            }
+        }
+    }
+
+    fn ended(&self, end: End) -> End {
+        self.counters.ledger_ends.add(end);
+        end
+    }
+
+    /// Makes one call, on the kept connection if it still stands. What comes back may be kept again.
+    fn make(&self, call: &Call, kept: Option<Line>, handle: &Handle) -> (Ended, Option<Line>) {
+        let until = Instant::now() + Duration::from_micros(call.time_out.micros());
+        let without = |end, written| (Ended::Without { end: self.ended(end), written }, None);
+        let mut line = match kept {
+            Some(line) => line,
+            None => match Line::connect(self.at, until.saturating_duration_since(Instant::now())) {
+                Ok(line) => line,
+                Err(end) => return without(end, false),
+            },
+        };
+        handle.attach(&line);
+        let mut reader = http::Reader::default();
+        http::write_call(line.out(), &call.id, call.time_out.micros() / 1000, &call.body);
+        let mut written = false;
+        loop {
+            while let Some(order) = handle.take() {
+                if matches!(order, Order::GiveUp(number) if number == call.number) {
+                    return without(
+                        if Instant::now() >= until { End::Expired } else { End::GivenUp },
+                        written,
+                    );
+                }
+            }
+            let flushed = line.flush();
+            written |= line.clear() || line.written() > 0;
+            if let Err(end) = flushed {
+                return without(end, written);
+            }
+            let filled = match line.fill(&mut reader.buffer, http::HEAD_MOST + http::REPLY_MOST) {
+                Ok(filled) => filled,
+                Err(end) => return without(end, written),
+            };
+            match reader.next_reply() {
+                Ok(Some(Message { what, last })) => {
+                    let keep = !last && filled == Filled::All && reader.buffer.is_empty();
+                    if !keep {
+                        self.ended(End::Finished);
+                    }
+                    return (Ended::Replied(what), keep.then_some(line));
+                }
+                Ok(None) if filled == Filled::End => {
+                    let end = if reader.buffer.is_empty() { End::Closed } else { End::Truncated };
+                    return without(end, written);
+                }
+                Ok(None) => line.wait(),
+                Err(bad) => {
+                    debug!(id = call.id, %bad, "a reply of the ledger can't be read");
+                    return without(End::Garbled, written);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lynxtally-node/src/node.rs
@@ -0,0 +1,119 @@
+//! One node from its start to its end: makes the parts, joins them, and waits for the owner.
+
+use crate::accept::{self, Entrance};
+use crate::answer::Standing;
+use crate::config::Config;
+use crate::control::{self, Reporter};
+use crate::counters::Counters;
+use crate::decide::{Heard, Owner, Parts};
+use crate::http::Names;
+use crate::kernel;
+use crate::ledger::Ledger;
+use crate::wire::{spawn, Outbox};
+use may::sync::mpsc::{channel, Receiver, Sender};
+use signal_hook::consts::{SIGTERM, SIGUSR1};
+use std::sync::mpsc;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use tracing::error;
+
+/// The owner runs the module; the other parts need less.
+const OWNER_STACK_WORDS: usize = 0x8000;
+const STACK_WORDS: usize = 0x2000;
+/// Prepared coroutines, and how long the event loop sleeps where nothing is due.
+const PREPARED: usize = 32;
+const SLEEP_AT_MOST: Duration = Duration::from_secs(10);
+/// Sidecars get this part of the descriptors; the rest stands for kernel, ledger, control plane and files.
+const SIDECARS_PART: f64 = 0.75;
+/// After the last message the connections get so long to write it.
+const LAST_WORDS: Duration = Duration::from_millis(50);
+
+/// Sets the coroutines up: one worker, as there is one core, and bound to none, as others share it.
+pub fn prepare() {
+    may::config().set_workers(1).set_stack_size(STACK_WORDS).set_pool_capacity(PREPARED);
+    may::config().set_worker_pin(false);
+    may::config().set_timeout_ns(SLEEP_AT_MOST.as_nanos() as u64);
+}
+
+/// Serves until the notice to leave has been followed. An error is one line for the person who started it.
+pub fn serve(config: Config) -> Result<(), String> {
+    let listener = accept::listen(config.listen)
+        .map_err(|fault| format!("`listen`: {} can't be listened on: {fault}", config.listen))?;
+    let names =
+        Names { stages: config.declared.stages.clone(), customers: config.declared.customers.clone() };
+    let counters = Arc::new(Counters::new(&names.stages));
+    let standing = Arc::new(Standing::default());
+    let (owner, heard) = channel();
+    let most = (config.sockets as f64 * SIDECARS_PART) as usize;
+    let entrance = Arc::new(Entrance::new(most, names, standing.clone(), owner.clone(), counters.clone()));
+    let ledger = Arc::new(Ledger::new(config.ledger, owner.clone(), counters.clone()));
+    let orders = Arc::new(Outbox::default());
+    let (states, reports) = channel();
+
+    listen_to_signals(owner.clone()).map_err(|fault| format!("signals can't be listened to: {fault}"))?;
+    let (ended, end) = mpsc::channel();
+    let part = |name: &'static str, ended: mpsc::Sender<bool>| {
+        move |text: String| {
+            error!(part = name, text, "a part of the node failed");
+            // The receiver waits for as long as the program runs.
+            let _ = ended.send(false);
+        }
+    };
+    let started = |fault: std::io::Error| format!("a coroutine can't be started: {fault}");
+    {
+        let entrance = entrance.clone();
+        spawn(STACK_WORDS, move || entrance.accept(listener), part("accept", ended.clone()))
+            .map_err(started)?;
+        let (at, counters, orders, owner) = (config.kernel, counters.clone(), orders.clone(), owner.clone());
+        let link = move || kernel::hold(at, &orders, &owner, &counters);
+        spawn(STACK_WORDS, link, part("kernel", ended.clone())).map_err(started)?;
+    }
+    {
+        let (name, at, counters) = (config.name.clone(), config.control, counters.clone());
+        let report = move || control::report(&name, at, &reports, &counters);
+        spawn(STACK_WORDS, report, part("control", ended.clone())).map_err(started)?;
+    }
+    let reporter = Reporter::new(states);
+    let parts = Parts { reporter, kernel: orders, ledger, entrance, standing, counters: counters.clone() };
+    let work = move || own(config, parts, &heard, &ended);
+    let failed = |text: String| error!(text, "the owner failed as it gave up");
+    spawn(OWNER_STACK_WORDS, work, failed).map_err(started)?;
+
+    let well = end.recv().unwrap_or(false);
+    thread::sleep(LAST_WORDS);
+    println!("{}", counters.line());
+    if well {
+        Ok(())
+    } else {
+        Err("a part of the node failed; the log says why".to_owned())
+    }
+}
+
+/// The owner's work; if it fails, what is open is answered all the same.
+fn own(config: Config, parts: Parts, heard: &Receiver<Heard>, ended: &mpsc::Sender<bool>) {
+    let mut owner = Owner::new(config, parts);
+    let worked = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| owner.work(heard)));
+    if let Err(panic) = &worked {
+        let text = panic.downcast_ref::<&str>().map(|text| (*text).to_owned());
+        let text = text.or_else(|| panic.downcast_ref::<String>().cloned()).unwrap_or_default();
+        error!(text, "the owner failed; every open task is answered that it failed");
+        owner.give_up();
+    }
+    // The receiver waits for as long as the program runs.
+    let _ = ended.send(worked.is_ok());
+}
+
+/// SIGTERM is the notice to leave, SIGUSR1 asks for the counters.
+fn listen_to_signals(owner: Sender<Heard>) -> std::io::Result<()> {
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGUSR1])?;
+    thread::spawn(move || {
+        for signal in signals.forever() {
+            let message = if signal == SIGTERM { Heard::Leave } else { Heard::Count };
+            if owner.send(message).is_err() {
+                return;
+            }
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/lynxtally-node/src/wire.rs
@@ -0,0 +1,212 @@
+//! The thin driver under every connection: it reads what is there, writes what can be written, and waits. What
+//! the bytes mean is the codecs' business.
+
+use crate::end::End;
+use may::coroutine::{Builder, JoinHandle};
+use may::io::{CoIo, WaitIo, WaitIoWaker};
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// What one read takes at most, so that a busy connection can't keep the others waiting.
+const CHUNK: usize = 4096;
+
+/// A lock whose holder panicked still guards plain data.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Starts a coroutine; `failed` hears of a panic in it, which would end it silently.
+pub fn spawn<F, G>(stack_words: usize, work: F, failed: G) -> io::Result<JoinHandle<()>>
+where
+    F: FnOnce() + Send + 'static,
+    G: FnOnce(String) + Send + 'static,
+{
+    let guarded = move || {
+        if let Err(panic) = catch_unwind(AssertUnwindSafe(work)) {
+            let text = panic.downcast_ref::<&str>().map(|text| (*text).to_owned());
+            let text = text.or_else(|| panic.downcast_ref::<String>().cloned());
+            failed(text.unwrap_or_else(|| "a panic".to_owned()));
+        }
+    };
+    // SAFETY: may asks two things of a coroutine. It must not rely on thread-local storage across a point where
+    // it waits, and none of ours does; and its stack must suffice, which is sized with room and guarded by a page.
+    #[allow(unsafe_code)]
+    unsafe {
+        Builder::new().stack_size(stack_words).spawn(guarded)
+    }
+}
+
+/// Messages for a coroutine that waits on its connection.
+pub struct Outbox<T> {
+    state: Mutex<State<T>>,
+}
+
+struct State<T> {
+    waiting: VecDeque<T>,
+    waker: Option<WaitIoWaker>,
+    closed: bool,
+}
+
+impl<T> Default for Outbox<T> {
+    fn default() -> Self {
+        Self { state: Mutex::new(State { waiting: VecDeque::new(), waker: None, closed: false }) }
+    }
+}
+
+impl<T> Outbox<T> {
+    /// Adds a message and wakes the connection; false where nobody takes it any more.
+    pub fn push(&self, message: T) -> bool {
+        let mut state = lock(&self.state);
+        if state.closed {
+            return false;
+        }
+        state.waiting.push_back(message);
+        if let Some(waker) = &state.waker {
+            waker.wakeup();
+        }
+        true
+    }
+
+    /// The oldest message.
+    pub fn take(&self) -> Option<T> {
+        lock(&self.state).waiting.pop_front()
+    }
+
+    /// Looks at the oldest message without taking it.
+    pub fn peek<R>(&self, look: impl FnOnce(&T) -> R) -> Option<R> {
+        lock(&self.state).waiting.front().map(look)
+    }
+
+    /// From now on messages wake this connection.
+    pub fn attach(&self, line: &Line) {
+        lock(&self.state).waker = Some(line.stream.waker());
+    }
+
+    /// No connection is woken until the next one is attached.
+    pub fn detach(&self) {
+        lock(&self.state).waker = None;
+    }
+
+    /// Takes no message any more; those that wait are handed back.
+    pub fn close(&self) -> VecDeque<T> {
+        let mut state = lock(&self.state);
+        state.closed = true;
+        state.waker = None;
+        std::mem::take(&mut state.waiting)
+    }
+}
+
+/// What reading found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Filled {
+    /// All that was there has been read, or as much as there was room for.
+    All,
+    /// The other side sends no more.
+    End,
+}
+
+/// One connection and what waits to be written on it.
+pub struct Line {
+    stream: CoIo<TcpStream>,
+    out: Vec<u8>,
+    written: usize,
+}
+
+impl Line {
+    /// Takes a connection over.
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        let stream = CoIo::new(stream).map_err(|fault| io::Error::other(fault.to_string()))?;
+        Ok(Self { stream, out: Vec::new(), written: 0 })
+    }
+
+    /// Connects within the given time.
+    pub fn connect(to: SocketAddr, within: Duration) -> Result<Self, End> {
+        let made = may::net::TcpStream::connect_timeout(&to, within.max(Duration::from_millis(1)));
+        let made = made.map_err(|fault| End::unmade(&fault))?;
+        // The same socket under a waiter of its own: this end of it knows nothing of what came before.
+        let stream = made.inner().try_clone().map_err(|fault| End::unmade(&fault))?;
+        drop(made);
+        Self::new(stream).map_err(|fault| End::unmade(&fault))
+    }
+
+    /// Reads what is there into the buffer, up to so many bytes in it.
+    pub fn fill(&mut self, into: &mut Vec<u8>, room: usize) -> Result<Filled, End> {
+        let mut chunk = [0; CHUNK];
+        while into.len() < room {
+            let most = CHUNK.min(room - into.len());
+            match self.stream.inner_mut().read(&mut chunk[..most]) {
+                Ok(0) => return Ok(Filled::End),
+                Ok(n) => into.extend_from_slice(&chunk[..n]),
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock => return Ok(Filled::All),
+                Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
+                Err(fault) => return Err(End::of(&fault)),
+            }
+        }
+        Ok(Filled::All)
+    }
+
+    /// Where bytes to be written are added.
+    pub fn out(&mut self) -> &mut Vec<u8> {
+        &mut self.out
+    }
+
+    /// Whether all was written.
+    pub fn clear(&self) -> bool {
+        self.out.is_empty()
+    }
+
+    /// How many of the bytes now waiting were written.
+    pub fn written(&self) -> usize {
+        self.written
+    }
+
+    /// Writes as much as goes.
+    pub fn flush(&mut self) -> Result<(), End> {
+        while self.written < self.out.len() {
+            match self.stream.inner_mut().write(&self.out[self.written..]) {
+                Ok(0) => return Err(End::Reset),
+                Ok(n) => self.written += n,
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
+                Err(fault) => return Err(End::of(&fault)),
+            }
+        }
+        self.out.clear();
+        self.written = 0;
+        Ok(())
+    }
+
+    /// Waits until something can be read or written, or a message came.
+    pub fn wait(&self) {
+        self.stream.wait_io();
+    }
+
+    /// Whether the other side is known to be gone altogether.
+    pub fn broken(&self) -> bool {
+        !matches!(self.stream.inner().take_error(), Ok(None))
+    }
+
+    /// Ends the writing side and reads on until the other side closes too, or for so long: a socket closed with
+    /// unread bytes would reset the connection and lose the last answer.
+    pub fn linger(mut self, at_most: Duration) {
+        if self.stream.inner().shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let until = std::time::Instant::now() + at_most;
+        let mut chunk = [0; CHUNK];
+        loop {
+            let left = until.saturating_duration_since(std::time::Instant::now());
+            if left.is_zero() || self.stream.set_read_timeout(Some(left)).is_err() {
+                return;
+            }
+            if !matches!(self.stream.read(&mut chunk), Ok(n) if n > 0) {
+                return;
+            }
+        }
+    }
+}
