Read what has come before a connection is closed as idle

Also: an answer to unreadable input is read on after like any other last answer, reads go straight to the buffer, and the story of descriptors meets the real limit too.

--- a/crates/lynxtally-node/src/accept.rs
+++ b/crates/lynxtally-node/src/accept.rs
@@ -173,7 +173,7 @@
             let mut connection = Connection { entrance: &entrance, handle: &own, task: None };
             let (end, line) = connection.serve(line);
             connection.leave(number, end);
-            if matches!(end, End::Finished | End::Idle | End::Closed) {
+            if matches!(end, End::Finished | End::Idle | End::Closed | End::Garbled) {
                 line.linger(LINGER);
             }
         };
@@ -211,7 +211,7 @@
         let mut reader = Reader::default();
         let (mut last, mut sends, mut used) = (None, true, Instant::now());
         loop {
-            let mut filled = Filled::All;
+            let (mut filled, mut idle_for) = (Filled::All, None);
             while let Some(order) = self.handle.take() {
                 match order {
                     Order::Answer(answer) => {
@@ -219,13 +219,7 @@
                         last = last.or(close.then_some(End::Finished));
                         used = Instant::now();
                     }
-                    // Only where nothing is under way: a task may have come since the order was given.
-                    Order::CloseIdle(since) => {
-                        let quiet = self.task.is_none() && line.clear() && reader.buffer.is_empty();
-                        if quiet && used.elapsed() >= since {
-                            last = last.or(Some(End::Idle));
-                        }
-                    }
+                    Order::CloseIdle(span) => idle_for = Some(span),
                 }
             }
             if sends && last.is_none() {
@@ -255,6 +249,11 @@
             if let Err(end) = line.flush() {
                 return (end, line);
             }
+            // Closed as idle only where nothing is under way, once all that came is read.
+            let quiet = self.task.is_none() && line.clear() && reader.buffer.is_empty();
+            if last.is_none() && quiet && idle_for.is_some_and(|span| used.elapsed() >= span) {
+                last = Some(End::Idle);
+            }
             if !sends && last.is_none() && self.task.is_none() {
                 last = Some(if reader.buffer.is_empty() { End::Closed } else { End::Truncated });
             }
--- a/crates/lynxtally-node/src/http.rs
+++ b/crates/lynxtally-node/src/http.rs
@@ -148,12 +148,7 @@
         self.buffer.drain(..blank);
         let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
         let mut head = httparse::Request::new(&mut fields);
-        let start = match head.parse(&self.buffer) {
-            Ok(httparse::Status::Complete(start)) if start <= HEAD_MOST => start,
-            Ok(httparse::Status::Partial) if self.buffer.len() < HEAD_MOST => return Ok(None),
-            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Bad::HeadLarge),
-            Err(_) => return Err(Bad::Head),
-        };
+        let Some(start) = body_start(head.parse(&self.buffer), self.buffer.len())? else { return Ok(None) };
         let found = Fields::of(head.headers)?;
         let length = found.length.unwrap_or(0);
         if length > BODY_MOST {
@@ -185,12 +180,7 @@
     pub fn next_reply(&mut self) -> Result<Option<Message<Reply>>, Bad> {
         let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
         let mut head = httparse::Response::new(&mut fields);
-        let start = match head.parse(&self.buffer) {
-            Ok(httparse::Status::Complete(start)) if start <= HEAD_MOST => start,
-            Ok(httparse::Status::Partial) if self.buffer.len() < HEAD_MOST => return Ok(None),
-            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Bad::HeadLarge),
-            Err(_) => return Err(Bad::Head),
-        };
+        let Some(start) = body_start(head.parse(&self.buffer), self.buffer.len())? else { return Ok(None) };
         let found = Fields::of(head.headers)?;
         let length = found.length.ok_or(Bad::Length)?;
         if length > REPLY_MOST {
@@ -208,6 +198,16 @@
     }
 }
 
+/// Where the body starts, once the head is whole.
+fn body_start(parsed: httparse::Result<usize>, buffered: usize) -> Result<Option<usize>, Bad> {
+    match parsed {
+        Ok(httparse::Status::Complete(start)) if start <= HEAD_MOST => Ok(Some(start)),
+        Ok(httparse::Status::Partial) if buffered < HEAD_MOST => Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(Bad::HeadLarge),
+        Err(_) => Err(Bad::Head),
+    }
+}
+
 /// Writes a call to the ledger.
 pub fn write_call(out: &mut Vec<u8>, id: &str, limit_ms: u64, body: &[u8]) {
     let head = format!(
--- a/crates/lynxtally-node/src/wire.rs
+++ b/crates/lynxtally-node/src/wire.rs
@@ -144,15 +144,18 @@
 
     /// Reads what is there into the buffer, up to so many bytes in it.
     pub fn fill(&mut self, into: &mut Vec<u8>, room: usize) -> Result<Filled, End> {
-        let mut chunk = [0; CHUNK];
         loop {
-            if into.len() >= room {
+            let start = into.len();
+            if start >= room {
                 return Ok(Filled::Full);
             }
-            let most = CHUNK.min(room - into.len());
-            match self.stream.inner_mut().read(&mut chunk[..most]) {
+            // Read in place: a coroutine's stack is no place for buffers.
+            into.resize(start + CHUNK.min(room - start), 0);
+            let read = self.stream.inner_mut().read(&mut into[start..]);
+            into.truncate(start + *read.as_ref().unwrap_or(&0));
+            match read {
                 Ok(0) => return Ok(Filled::End),
-                Ok(n) => into.extend_from_slice(&chunk[..n]),
+                Ok(_) => {}
                 Err(fault) if fault.kind() == ErrorKind::WouldBlock => return Ok(Filled::All),
                 Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
                 Err(fault) => return Err(End::of(&fault)),
@@ -208,7 +211,7 @@
             return;
         }
         let until = std::time::Instant::now() + at_most;
-        let mut chunk = [0; CHUNK];
+        let mut chunk = [0; 64];
         loop {
             let left = until.saturating_duration_since(std::time::Instant::now());
             if left.is_zero() || self.stream.set_read_timeout(Some(left)).is_err() {
--- a/crates/lynxtally-node/tests/stories.rs
+++ b/crates/lynxtally-node/tests/stories.rs
@@ -15,6 +15,8 @@
 use lynxtally_node::ledger::Ledger;
 use lynxtally_node::{config, node};
 use may::sync::mpsc::channel;
+use std::io::Write;
+use std::net::TcpStream;
 use std::process::Command;
 use std::sync::Arc;
 use std::time::Duration;
@@ -226,18 +228,45 @@
 }
 
 #[test]
-fn more_connections_than_descriptors_wait_their_turn() {
-    let world = World::start(NODE);
-    let mut callers: Vec<Caller> = (0..80).map(|_| world.caller()).collect();
-    let last = callers.len() - 1;
-    callers[last].send(&task(1, "ok:last"));
-    callers[0].send(&task(2, "ok:first"));
-    assert_eq!(callers[0].answer(), (200, "first".into()));
-    // As others close, the last is taken.
-    let mut last = callers.pop().expect("many");
-    callers.clear();
-    assert_eq!(last.answer(), (200, "last".into()));
-    leave(world);
+fn a_task_that_is_there_is_not_lost_to_the_closing_of_idle_connections() {
+    let ((owner, heard), counters) = (channel(), Arc::default());
+    let names = Names { stages: vec!["a".into()], customers: vec![] };
+    let (standing, alarm) = (Arc::default(), Alarm::start().expect("a thread"));
+    let entrance = Arc::new(Entrance::new(9, names, standing, alarm, owner, counters));
+    let listener = accept::listen(([127, 0, 0, 1], 0).into()).expect("a port");
+    let at = listener.local_addr().expect("an address");
+    let accepting = entrance.clone();
+    let failed = |text| panic!("{text}");
+    lynxtally_node::wire::spawn(0x2000, move || accepting.accept(listener), failed).expect("it starts");
+    for n in 1..200 {
+        let mut stream = TcpStream::connect(at).expect("it listens");
+        until("it is taken", || entrance.len() == 1);
+        stream.write_all(task(n, "").as_bytes()).expect("it is read");
+        entrance.close_idle(Duration::ZERO);
+        let Ok(Heard::Taken(taken)) = heard.recv() else { panic!("the task is lost") };
+        assert_eq!(taken.sent.id, id(n));
+        taken.from.push(accept::Order::Answer(Answer::Abandoned));
+        drop(stream);
+        until("it is closed", || entrance.is_empty());
+    }
+}
+
+#[test]
+fn connections_beyond_the_descriptors_wait_their_turn() {
+    // The one is kept from it by its configuration, the other hits the limit.
+    for descriptors in [1024, 40] {
+        let world = World::limited(NODE, descriptors);
+        let mut callers: Vec<Caller> = (0..80).map(|_| world.caller()).collect();
+        callers[79].send(&task(1, "ok:last"));
+        callers[0].send(&task(2, "ok:first"));
+        assert_eq!(callers[0].answer(), (200, "first".into()));
+        // As others close, the last is taken.
+        let mut last = callers.pop().expect("many");
+        callers.clear();
+        assert_eq!(last.answer(), (200, "last".into()));
+        let line = leave(world);
+        assert_eq!(count(&line, "accepts_failed") > 0, descriptors == 40, "{line}");
+    }
 }
 
 #[test]
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -452,6 +452,11 @@
     impl World {
         /// Starts a node and waits until it is well. `program` is its path.
         pub fn start(program: &str) -> Self {
+            Self::limited(program, 1024)
+        }
+
+        /// The same for a node that may hold so many descriptors, whatever its configuration says.
+        pub fn limited(program: &str, descriptors: u32) -> Self {
             static NEXT: AtomicU32 = AtomicU32::new(0);
             let number = NEXT.fetch_add(1, Ordering::Relaxed);
             let folder = std::env::temp_dir().join(format!("lynxtally-{}-{number}", std::process::id()));
@@ -464,7 +469,9 @@
             let path = folder.join("config.json");
             let ports = [free, kernel_at, ledger_at, control.local_addr().expect("an address")];
             std::fs::write(&path, config(ports, "")).expect("a file");
-            let node = Command::new(program)
+            let start = format!("ulimit -n {descriptors}; exec \"$0\" \"$1\"");
+            let node = Command::new("sh")
+                .args(["-c", &start, program])
                 .arg(&path)
                 .stdout(Stdio::piped())
                 .stderr(Stdio::piped())
