--- a/crates/lynxtally-node/src/accept.rs
+++ b/crates/lynxtally-node/src/accept.rs
@@ -110,6 +110,13 @@
         }
     }
 
+    /// Answers whatever still waits on any connection that it failed. Where nothing waits this does nothing.
+    pub fn abandon_all(&self) {
+        for handle in wire::lock(&self.open).values() {
+            handle.push(Order::Answer(Answer::Abandoned));
+        }
+    }
+
     /// Has the listener closed, once all that waits before it is taken.
     pub fn close(&self) {
         self.closing.store(true, Ordering::Release);
@@ -185,6 +192,7 @@
         };
         if wire::spawn(STACK_WORDS, work, failed).is_err() {
             wire::lock(&self.open).remove(&number);
+            self.counters.connection_ends.add(End::Failed);
         }
     }
 
--- a/crates/lynxtally-node/src/alarm.rs
+++ b/crates/lynxtally-node/src/alarm.rs
@@ -1,8 +1,8 @@
 //! The one clockwork of a node: a thread that sends a message when a time has come.
 //!
-//! may's own timed waits are not used for this. They start the timer before the coroutine is laid down for it, so
-//! that on a busy core a short time can run out in between, and the coroutine is never woken. They would also run
-//! coroutines on a second thread.
+//! may's own timed waits are not used for this. They start the timer before the coroutine is laid down for
+//! it, so that on a busy core a short time can run out in between, and the coroutine is never woken. They
+//! would also run coroutines on a second thread.
 
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
--- a/crates/lynxtally-node/src/control.rs
+++ b/crates/lynxtally-node/src/control.rs
@@ -20,7 +20,8 @@
     Again,
 }
 
-/// Tells the control plane how this node is, and again each second. That datagrams can't be sent, as while the control plane is down, is counted and does no harm.
+/// Tells the control plane how this node is, and again each second. That datagrams can't be sent, as while
+/// the control plane is down, is counted and does no harm.
 pub fn report(
     name: &str,
     at: SocketAddr,
--- a/crates/lynxtally-node/src/decide.rs
+++ b/crates/lynxtally-node/src/decide.rs
@@ -1,6 +1,6 @@
-//! The owner: one coroutine that holds the module, its door and the open tasks. Everything else sends it messages;
-//! it takes all that wait, lets the module settle once, and hands out orders. It never blocks and never writes to a
-//! socket itself, and decides nothing that the module should.
+//! The owner: one coroutine that holds the module, its door and the open tasks. Everything else sends it
+//! messages; it takes all that wait, lets the module settle once, and hands out orders. It never blocks and
+//! never writes to a socket itself, and decides nothing that the module should.
 
 use crate::accept::{self, Entrance, Taken};
 use crate::alarm::Alarm;
@@ -20,7 +20,6 @@
 };
 use may::sync::mpsc::{Receiver, Sender};
 use std::collections::BTreeSet;
-
 use std::sync::Arc;
 use std::time::Duration;
 use tracing::{debug, error, info, warn};
@@ -238,7 +237,8 @@
         }
     }
 
-    /// After a failure of our own: every open task is answered, and nothing more is sent here.
+    /// After a failure of our own: every open task is answered, those still in messages too, and nothing more
+    /// is sent here.
     pub fn give_up(&mut self) {
         self.reporter.say(false);
         self.standing.set_healthy(false);
@@ -250,6 +250,7 @@
                 from.push(accept::Order::Answer(Answer::Abandoned));
             }
         }
+        self.entrance.abandon_all();
     }
 
     fn tell(&mut self, now: Instant, event: Event) {
@@ -302,8 +303,8 @@
 
     fn taken(&mut self, now: Instant, Taken { sent, from }: Taken) {
         self.counters.tasks.add(sent.stage);
-        // Before the kernel is up there is no module to ask, and a name that is inside already can't be told from
-        // the task that has it. Neither is expected; neither ran.
+        // Before the kernel is up there is no module to ask, and a name that is inside already can't be told
+        // from the task that has it. Neither is expected; neither ran.
         if self.policy.is_none() || self.door.find(&sent.id).is_some() {
             warn!(id = sent.id, "a task before the kernel is up, or under a name that is in use");
             self.counters.rejected.add();
@@ -368,7 +369,8 @@
                 }
             }
             Notice::Gauges { tag, .. } if tag == kernel::SYNC => {
-                // All that happened without a link has been told by now. What no effect is known of is said again.
+                // All that happened without a link has been told by now. What no effect is known of is said
+                // again.
                 self.linked = true;
                 for command in self.open.iter().flatten().flat_map(|open| &open.unconfirmed) {
                     self.kernel.push(command.clone());
--- a/crates/lynxtally-node/src/http.rs
+++ b/crates/lynxtally-node/src/http.rs
@@ -1,5 +1,5 @@
-//! HTTP/1.1 as sidecars and the ledger speak it: bytes in, small typed values out. No socket is known here, and
-//! the protocol's names end here.
+//! HTTP/1.1 as sidecars and the ledger speak it: bytes in, small typed values out. No socket is known here,
+//! and the protocol's names end here.
 
 use std::fmt;
 
@@ -210,9 +210,10 @@
 
 /// Writes a call to the ledger.
 pub fn write_call(out: &mut Vec<u8>, id: &str, limit_ms: u64, body: &[u8]) {
+    let length = body.len();
     let head = format!(
-        "POST /post HTTP/1.1\r\nHost: ledger\r\nX-Txn-Ref: {id}\r\nX-Limit-Ms: {limit_ms}\r\nContent-Length: {}\r\n\r\n",
-        body.len()
+        "POST /post HTTP/1.1\r\nHost: ledger\r\nX-Txn-Ref: {id}\r\n\
+         X-Limit-Ms: {limit_ms}\r\nContent-Length: {length}\r\n\r\n"
     );
     out.extend_from_slice(head.as_bytes());
     out.extend_from_slice(body);
--- a/crates/lynxtally-node/src/kernel.rs
+++ b/crates/lynxtally-node/src/kernel.rs
@@ -1,4 +1,5 @@
-//! The link to the kernel, which does the work: its lines in and out, and the driver that holds one link open.
+//! The link to the kernel, which does the work: its lines in and out, and the driver that holds one link
+//! open.
 
 use crate::alarm::Alarm;
 use crate::counters::Counters;
@@ -257,8 +258,8 @@
             *seen = number.unwrap_or(*seen);
             match &notice {
                 Notice::Booted { .. } => Command::Gauges(SYNC).write(line.out()),
-                // What was ordered before is not lost: on this notice the owner says again what it knows no effect
-                // of. Written here too, a reply could reach the run's next call.
+                // What was ordered before is not lost: on this notice the owner says again what it knows no
+                // effect of. Written here too, a reply could reach the run's next call.
                 Notice::Gauges { tag, .. } if tag == SYNC && !synced => {
                     synced = true;
                     while orders.take().is_some() {}
--- a/crates/lynxtally-node/src/ledger.rs
+++ b/crates/lynxtally-node/src/ledger.rs
@@ -1,5 +1,5 @@
-//! Calls to the ledger that all nodes share: a few kept connections, one call at a time on each. A call is made once;
-//! whether it is made again is decided elsewhere.
+//! Calls to the ledger that all nodes share: a few kept connections, one call at a time on each. A call is
+//! made once; whether it is made again is decided elsewhere.
 
 use crate::counters::Counters;
 use crate::decide::Heard;
@@ -13,7 +13,8 @@
 use std::time::{Duration, Instant};
 use tracing::debug;
 
-/// The ledger closes connections that are idle for twice as long; ours go first, so that none is closed in use.
+/// The ledger closes connections that are idle for twice as long; ours go first, so that none is closed in
+/// use.
 const IDLE: Duration = Duration::from_secs(5);
 const STACK_WORDS: usize = 0x2000;
 
--- a/crates/lynxtally-node/src/node.rs
+++ b/crates/lynxtally-node/src/node.rs
@@ -114,7 +114,8 @@
     }
 }
 
-/// The owner's work from the start to the end, and whether it ended well; if it fails, what is open is answered all the same.
+/// The owner's work from the start to the end; `ended` hears whether it ended well. If it fails, what is open
+/// is answered all the same.
 pub fn own(config: Config, parts: Parts, heard: &Receiver<Heard>, ended: &mpsc::Sender<bool>) {
     let mut owner = Owner::new(config, parts);
     let worked = guarded(|| owner.work(heard));
--- a/crates/lynxtally-node/src/repeats.rs
+++ b/crates/lynxtally-node/src/repeats.rs
@@ -1,4 +1,5 @@
-//! Which tasks repeat one another, and the results kept for them: what the module's `Keep`, `Forget` and `Reuse` need.
+//! Which tasks repeat one another, and the results kept for them: what the module's `Keep`, `Forget` and
+//! `Reuse` need.
 //!
 //! Assumed, as the pages leave it open: a fingerprinted task carries its mark in `X-Operation-Key`.
 
--- a/crates/lynxtally-node/src/wire.rs
+++ b/crates/lynxtally-node/src/wire.rs
@@ -1,5 +1,5 @@
-//! The thin driver under every connection: it reads what is there, writes what can be written, and waits. What
-//! the bytes mean is the codecs' business.
+//! The thin driver under every connection: it reads what is there, writes what can be written, and waits.
+//! What the bytes mean is the codecs' business.
 
 use crate::end::End;
 use may::coroutine::{Builder, JoinHandle};
@@ -38,8 +38,9 @@
             failed(text);
         }
     };
-    // SAFETY: may asks two things of a coroutine. It must not rely on thread-local storage across a point where
-    // it waits, and none of ours does; and its stack must suffice, which is sized with room and guarded by a page.
+    // SAFETY: may asks two things of a coroutine. It must not rely on thread-local storage across a point
+    // where it waits, and none of ours does; and its stack must suffice, which is sized with room and guarded
+    // by a page.
     #[allow(unsafe_code)]
     unsafe {
         Builder::new().stack_size(stack_words).spawn(watched)
@@ -204,8 +205,8 @@
         !matches!(self.stream.inner().take_error(), Ok(None))
     }
 
-    /// Ends the writing side and reads on until the other side closes too, or for so long: a socket closed with
-    /// unread bytes would reset the connection and lose the last answer.
+    /// Ends the writing side and reads on until the other side closes too, or for so long: a socket closed
+    /// with unread bytes would reset the connection and lose the last answer.
     pub fn linger(mut self, at_most: Duration) {
         if self.stream.inner().shutdown(Shutdown::Write).is_err() {
             return;
--- a/crates/lynxtally-node/tests/stories.rs
+++ b/crates/lynxtally-node/tests/stories.rs
@@ -4,19 +4,19 @@
 #[path = "../../../tests/host/mod.rs"]
 mod host;
 use host::world::{id, staged, task, until, Caller, Mood, World};
-use lynxtally_node::accept::{self, Entrance, Taken};
+use lynxtally_node::accept::{self, Entrance};
 use lynxtally_node::alarm::Alarm;
 use lynxtally_node::answer::{Answer, Standing};
 use lynxtally_node::control::{Reporter, State};
 use lynxtally_node::counters::Counters;
 use lynxtally_node::decide::{Heard, Parts};
-use lynxtally_node::http::{Names, Sent};
+use lynxtally_node::http::Names;
 use lynxtally_node::kernel::Notice;
 use lynxtally_node::ledger::Ledger;
 use lynxtally_node::{config, node};
-use may::sync::mpsc::channel;
+use may::sync::mpsc::{channel, Sender};
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::process::Command;
 use std::sync::Arc;
 use std::time::Duration;
@@ -233,17 +233,23 @@
     );
 }
 
-#[test]
-fn a_task_that_is_there_is_not_lost_to_the_closing_of_idle_connections() {
-    let ((owner, heard), counters) = (channel(), Arc::default());
-    let names = Names { stages: vec!["a".into()], customers: vec![] };
-    let (standing, alarm) = (Arc::default(), Alarm::start().expect("a thread"));
-    let entrance = Arc::new(Entrance::new(9, names, standing, alarm, owner, counters));
+/// An entrance with a listener, as a node has it.
+fn entrance(names: Names, standing: Arc<Standing>, owner: Sender<Heard>) -> (Arc<Entrance>, SocketAddr) {
+    let alarm = Alarm::start().expect("a thread");
+    let entrance = Arc::new(Entrance::new(9, names, standing, alarm, owner, Arc::default()));
     let listener = accept::listen(([127, 0, 0, 1], 0).into()).expect("a port");
     let at = listener.local_addr().expect("an address");
     let accepting = entrance.clone();
     let failed = |text| panic!("{text}");
     lynxtally_node::wire::spawn(0x2000, move || accepting.accept(listener), failed).expect("it starts");
+    (entrance, at)
+}
+
+#[test]
+fn a_task_that_is_there_is_not_lost_to_the_closing_of_idle_connections() {
+    let (owner, heard) = channel();
+    let names = Names { stages: vec!["a".into()], customers: vec![] };
+    let (entrance, at) = entrance(names, Arc::default(), owner);
     for n in 1..200 {
         let mut stream = TcpStream::connect(at).expect("it listens");
         until("it is taken", || entrance.len() == 1);
@@ -306,36 +312,30 @@
 fn an_owner_that_fails_answers_what_is_open_and_says_so() {
     let at = ([127, 0, 0, 1], 9).into();
     let config = config::read(&host::world::config([at; 4]), |_| None).expect("fit");
-    let (owner, heard) = channel();
-    let (states, reports) = channel();
+    let ((owner, heard), (states, reports)) = (channel(), channel());
     let (counters, standing) = (Arc::new(Counters::new(&[])), Arc::new(Standing::default()));
-    let alarm = Alarm::start().expect("a thread");
-    let names = Names::default();
-    let entrance = Entrance::new(9, names, standing.clone(), alarm.clone(), owner.clone(), counters.clone());
+    // A defect of our own: a stage that the owner doesn't have.
+    let names = Names { stages: ["a", "b", "c"].map(str::to_owned).to_vec(), customers: vec![] };
+    let (entrance, node) = entrance(names, standing.clone(), owner.clone());
     let parts = Parts {
-        alarm,
+        alarm: Alarm::start().expect("a thread"),
         owner: owner.clone(),
         reporter: Reporter::new(states),
         kernel: Arc::default(),
         ledger: Arc::new(Ledger::new(at, owner.clone(), counters.clone())),
-        entrance: Arc::new(entrance),
+        entrance,
         standing: standing.clone(),
         counters,
     };
-    let from = accept::Handle::default();
-    let mut sent = Sent { id: id(1), stage: 0, kb: 1.0, ..Sent::default() };
-    let boot = Heard::Kernel(Notice::Booted { cold: false, ms: 0.0 });
-    let first = Heard::Taken(Taken { sent: sent.clone(), from: from.clone() });
-    // No decoder lets a stage through that is not there: a defect of our own.
-    (sent.id, sent.stage) = (id(2), 7);
-    let defect = Heard::Taken(Taken { sent, from: accept::Handle::default() });
-    for message in [boot, first, defect] {
-        assert!(owner.send(message).is_ok());
-    }
+    assert!(owner.send(Heard::Kernel(Notice::Booted { cold: false, ms: 0.0 })).is_ok());
     let (ended, end) = std::sync::mpsc::channel();
-    node::own(config, parts, &heard, &ended);
-    assert_eq!(end.recv(), Ok(false));
-    assert!(matches!(from.take(), Some(accept::Order::Answer(Answer::Abandoned))));
+    std::thread::spawn(move || node::own(config, parts, &heard, &ended));
+    let [mut open, mut defect] = [Caller::to(node), Caller::to(node)];
+    open.send(&task(1, "wait"));
+    until("it is well", || standing.healthy());
+    defect.send(&staged("c", 2, ""));
+    assert_eq!([open.answer().0, defect.answer().0], [500, 500]);
+    assert_eq!(end.recv_timeout(Duration::from_secs(20)), Ok(false));
     assert!(standing.leaving() && !standing.healthy());
     assert!(matches!(reports.try_iter().last(), Some(State::Is(false))));
 }
--- a/crates/lynxtally-settings/src/lib.rs
+++ b/crates/lynxtally-settings/src/lib.rs
@@ -1,10 +1,12 @@
-//! The settings object that a backend is given when it starts, the same JSON on the simulator's wire and in the
-//! configuration of a node. It is read, checked and given its defaults here and nowhere else.
+//! The settings object that a backend is given when it starts, the same JSON on the simulator's wire and in
+//! the configuration of a node. It is read, checked and given its defaults here and nowhere else.
 //!
 //! ```
-//! let text = r#"{"lanes":[{"name":"a","importance":1,"promise-ms":900,"deadline-ms":2000,"idempotency":"pure"}],
+//! let text = r#"{
+//!     "lanes":[{"name":"a","importance":1,"promise-ms":900,"deadline-ms":2000,"idempotency":"pure"}],
 //!     "rules":{"cold-share":0.2,"drain-grace-ms":1000,"fall-multiple":6,"warm-after-ms":9000},
-//!     "specifics":{"cores":0,"blowup":4,"ram-kb":9000}}"#;
+//!     "specifics":{"cores":0,"blowup":4,"ram-kb":9000}
+//! }"#;
 //! let fault = lynxtally_settings::read(serde_json::from_str(text).unwrap()).unwrap_err();
 //! assert_eq!(fault.to_string(), "`specifics.cores` is 0; at least 1 is expected");
 //! ```
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -1,5 +1,5 @@
-//! A toy of everything that a node talks to, to try it with: a kernel, a ledger and a control plane in one program,
-//! at the addresses of `examples/node.json`. It starts the node too, and ends when that ends.
+//! A toy of everything that a node talks to, to try it with: a kernel, a ledger and a control plane in one
+//! program, at the addresses of `examples/node.json`. It starts the node too, and ends when that ends.
 //!
 //! Build all with `cargo build --release`, then `cargo run --release --example toy`.
 
@@ -29,7 +29,8 @@
             thread::spawn(move || work(link));
         }
     });
-    // The node as it would run anywhere. Ctrl-C ends both at once; SIGTERM to the node lets it leave in order.
+    // The node as it would run anywhere. Ctrl-C ends both at once; SIGTERM to the node lets it leave in
+    // order.
     let status = Command::new("target/release/lynxtally-node").arg("examples/node.json").status()?;
     println!("the node ended: {status}");
     exit(status.code().unwrap_or(1))
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -168,8 +168,8 @@
         }
     }
 
-    /// A kernel in which a run ends as its body says: `ok:R` with the result R, `error`, `call:B` with the reply to a
-    /// call with the body B, or not at all.
+    /// A kernel in which a run ends as its body says: `ok:R` with the result R, `error`, `call:B` with the
+    /// reply to a call with the body B, or not at all.
     #[derive(Clone)]
     pub struct Kernel(Arc<Mutex<Inside>>);
 
@@ -368,6 +368,11 @@
     pub struct Caller(BufReader<TcpStream>);
 
     impl Caller {
+        /// A new connection to a node.
+        pub fn to(node: SocketAddr) -> Self {
+            Self::of(TcpStream::connect(node).expect("it listens"))
+        }
+
         fn of(stream: TcpStream) -> Self {
             stream.set_read_timeout(Some(LONG)).expect("a time-out");
             stream.set_nodelay(true).expect("no delay");
@@ -473,7 +478,8 @@
             let ((kernel, kernel_at), (ledger, ledger_at)) = (Kernel::start(), Ledger::start());
             let control = UdpSocket::bind("127.0.0.1:0").expect("a port");
             control.set_read_timeout(Some(LONG)).expect("a time-out");
-            // An address on loopback that is this world's alone, so that no port can be taken by another's connection.
+            // An address on loopback that is this world's alone, so that no port can be taken by another's
+            // connection.
             let process = std::process::id();
             let [high, low] = [process / 250 % 250, process % 250].map(|part| part as u8);
             let free: SocketAddr = ([127, 10 + number as u8, high, low + 1], 8443).into();
@@ -501,7 +507,7 @@
 
         /// A new connection to the node.
         pub fn caller(&self) -> Caller {
-            Caller::of(TcpStream::connect(self.listen).expect("it listens"))
+            Caller::to(self.listen)
         }
 
         /// Sends the node a signal by its name.
