--- a/crates/lynxtally-node/tests/stories.rs
+++ b/crates/lynxtally-node/tests/stories.rs
@@ -4,15 +4,17 @@
 #[path = "../../../tests/host/mod.rs"]
 mod host;
 use host::world::{id, staged, task, until, Caller, Mood, World};
+use lynxtally::{CallOutcome, Span};
 use lynxtally_node::accept::{self, Entrance};
 use lynxtally_node::alarm::Alarm;
 use lynxtally_node::answer::{Answer, Standing};
 use lynxtally_node::control::{Reporter, State};
 use lynxtally_node::counters::Counters;
 use lynxtally_node::decide::{Heard, Parts};
+use lynxtally_node::end::End;
 use lynxtally_node::http::Names;
 use lynxtally_node::kernel::Notice;
-use lynxtally_node::ledger::Ledger;
+use lynxtally_node::ledger::{Call, Ended, Ledger};
 use lynxtally_node::{config, node};
 use may::sync::mpsc::{channel, Sender};
 use std::io::Write;
@@ -163,6 +165,18 @@
     assert_eq!(count(&line, "calls_ok"), 5);
 }
 
+#[test]
+fn a_call_that_is_refused_never_ran() {
+    let (owner, heard) = channel();
+    // Nobody listens on this address of loopback.
+    let ledger = Arc::new(Ledger::new(([127, 9, 9, 9], 9).into(), owner, Arc::default()));
+    let call = Call { id: id(1), number: 7, time_out: Span::from_millis(20_000), body: vec![] };
+    assert!(ledger.call(call).is_some());
+    let Ok(Heard::Called { number: 7, ended, .. }) = heard.recv() else { panic!("something else is heard") };
+    assert_eq!(ended, Ended::Without { end: End::Refused, written: false });
+    assert_eq!(ended.outcome(), CallOutcome::NeverRan);
+}
+
 #[test]
 fn a_caller_that_only_stopped_sending_is_answered_and_one_that_reset_is_gone() {
     let world = World::start(NODE);
