--- a/crates/lynxtally-node/src/accept.rs
+++ b/crates/lynxtally-node/src/accept.rs
@@ -2,6 +2,8 @@
 
 use crate::alarm::Alarm;
 use crate::answer::{self, Answer, Standing};
+use crate::clock::Clock;
+use crate::config::Bounds;
 use crate::counters::Counters;
 use crate::decide::Heard;
 use crate::end::End;
@@ -20,18 +22,22 @@
 const STACK_WORDS: usize = 0x2000;
 /// Connections that wait to be taken, at most.
 const BACKLOG: i32 = 1024;
-/// How long we read on after our last byte.
-const LINGER: Duration = Duration::from_secs(1);
 /// The pause after a connection could not be taken: a full table of descriptors must not be spun on.
 const PAUSE: Duration = Duration::from_millis(20);
+/// What has stood for less is not closed to make room: its first bytes may be on their way.
+const SETTLE: Duration = PAUSE;
+/// What is read at once of what nobody will look at.
+const LINGER_CHUNK: usize = 16 * 1024;
+/// After so many connections taken in one go the others get their turn.
+const TURN: u32 = 16;
 
 /// What a connection is told.
 #[derive(Clone, Debug)]
 pub enum Order {
     /// The final answer to its task.
     Answer(Answer),
-    /// Close if nothing was carried for so long.
-    CloseIdle(Duration),
+    /// Close if no task is open and nothing came meanwhile; the end says why.
+    Close(End),
 }
 
 /// A connection, as the owner knows it.
@@ -45,15 +51,38 @@
     pub from: Handle,
 }
 
+/// How a connection stands. To make room, the ones named first go first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Stand {
+    /// We wrote the last on it, and read on so that this is not lost.
+    Leaving,
+    /// Nothing whole has come on it yet.
+    New,
+    /// A message is begun, or an answer not taken yet.
+    Halfway,
+    /// Between two messages.
+    Resting,
+    /// A task on it is open.
+    Busy,
+}
+
+/// A connection in the table, and since when it has stood so.
+struct Seat {
+    handle: Handle,
+    stand: Stand,
+    since: Instant,
+}
+
 /// All connections from sidecars and the listener before them.
 pub struct Entrance {
-    open: Mutex<BTreeMap<u64, Handle>>,
+    open: Mutex<BTreeMap<u64, Seat>>,
     next: AtomicU64,
-    most: usize,
+    bounds: Bounds,
     closing: AtomicBool,
     waker: Mutex<Option<WaitIoWaker>>,
     names: Names,
     standing: Arc<Standing>,
+    clock: Clock,
     alarm: Alarm,
     owner: Sender<Heard>,
     counters: Arc<Counters>,
@@ -70,9 +99,9 @@
 }
 
 impl Entrance {
-    /// An entrance for so many connections at most.
+    /// An entrance with these bounds.
     pub fn new(
-        most: usize,
+        bounds: Bounds,
         names: Names,
         standing: Arc<Standing>,
         alarm: Alarm,
@@ -82,38 +111,78 @@
         Self {
             open: Mutex::default(),
             next: AtomicU64::new(0),
-            most,
+            bounds,
             closing: AtomicBool::new(false),
             waker: Mutex::default(),
             names,
             standing,
+            clock: Clock::default(),
             alarm,
             owner,
             counters,
         }
     }
 
+    /// Whether no connection is open, but such as have carried their last answer.
+    pub fn is_empty(&self) -> bool {
+        wire::lock(&self.open).values().all(|seat| seat.stand == Stand::Leaving)
+    }
+
     /// How many connections are open.
     pub fn len(&self) -> usize {
         wire::lock(&self.open).len()
     }
 
-    /// Whether no connection is open.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
     /// Has connections closed that carried nothing for so long.
     pub fn close_idle(&self, since: Duration) {
-        for handle in wire::lock(&self.open).values() {
-            handle.push(Order::CloseIdle(since));
+        self.close_where(End::Idle, |seat| {
+            matches!(seat.stand, Stand::New | Stand::Resting) && seat.since.elapsed() >= since
+        });
+    }
+
+    /// Has connections closed whose time is over: those that carry no whole message or don't take an answer,
+    /// those that were to leave, and those that sidecars would have closed long ago if they still knew them.
+    /// Catches silent clients, halves of messages, trickles and forgotten connections; harms a sidecar that
+    /// needs longer than a task's time for one message.
+    pub fn sweep(&self) {
+        let Bounds { message, linger, idle, .. } = self.bounds;
+        self.close_where(End::Expired, |seat| {
+            let over = |span| seat.since.elapsed() >= span;
+            match seat.stand {
+                Stand::Leaving => over(linger),
+                Stand::New | Stand::Halfway => over(message),
+                Stand::Resting => idle.is_some_and(over),
+                Stand::Busy => false,
+            }
+        });
+    }
+
+    fn close_where(&self, end: End, goes: impl Fn(&Seat) -> bool) {
+        for seat in wire::lock(&self.open).values().filter(|seat| goes(seat)) {
+            seat.handle.push(Order::Close(end));
         }
     }
 
+    /// Makes room where the table is full: what is leaving goes first, then what has never carried a whole
+    /// message, then what rests, of each the longest; a connection with a task never. So neither silent
+    /// clients nor such as keep their connections shut the sidecars out. Harms a sidecar whose connection
+    /// rests and is closed as it sends: it sends once more. False where the listener has to wait.
+    fn make_room(&self) -> bool {
+        let open = wire::lock(&self.open);
+        if open.len() < self.bounds.connections {
+            return true;
+        }
+        let may_go = |seat: &&Seat| seat.stand != Stand::Busy && seat.since.elapsed() >= SETTLE;
+        let first = open.values().filter(may_go).min_by_key(|seat| (seat.stand, seat.since));
+        let told = first.is_some_and(|seat| seat.handle.push(Order::Close(End::Crowded)));
+        // Those that were told need a moment to go.
+        told && open.len() < self.bounds.connections + self.bounds.connections / 8
+    }
+
     /// Answers whatever still waits on any connection that it failed. Where nothing waits this does nothing.
     pub fn abandon_all(&self) {
-        for handle in wire::lock(&self.open).values() {
-            handle.push(Order::Answer(Answer::Abandoned));
+        for seat in wire::lock(&self.open).values() {
+            seat.handle.push(Order::Answer(Answer::Abandoned));
         }
     }
 
@@ -132,15 +201,22 @@
             Err(fault) => return warn!(%fault, "the listener can't be waited on"),
         };
         *wire::lock(&self.waker) = Some(listener.waker());
+        let mut taken = 0;
         loop {
             // Looked at first: what waits by then is still taken.
             let closing = self.closing.load(Ordering::Acquire);
-            if self.len() >= self.most && !closing {
+            if !self.make_room() && !closing {
                 self.alarm.sleep(PAUSE);
                 continue;
             }
             match listener.inner().accept() {
-                Ok((stream, _)) => self.take(stream),
+                Ok((stream, _)) => {
+                    self.take(stream);
+                    taken += 1;
+                    if taken % TURN == 0 {
+                        may::coroutine::yield_now();
+                    }
+                }
                 Err(fault) if fault.kind() == ErrorKind::WouldBlock && !closing => {
                     listener.wait_io();
                 }
@@ -174,21 +250,15 @@
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let handle = Handle::default();
         handle.attach(&line);
-        wire::lock(&self.open).insert(number, handle.clone());
-        let (entrance, own) = (self.clone(), handle.clone());
-        let work = move || {
-            let mut connection = Connection { entrance: &entrance, handle: &own, task: None };
-            let (end, line) = connection.serve(line);
-            connection.leave(number, end);
-            if matches!(end, End::Finished | End::Idle | End::Closed | End::Garbled) {
-                line.linger(LINGER);
-            }
-        };
+        let seat = Seat { handle: handle.clone(), stand: Stand::New, since: Instant::now() };
+        wire::lock(&self.open).insert(number, seat);
+        let entrance = self.clone();
+        let work =
+            move || Connection { entrance: &entrance, handle: &handle, number, task: None }.carry(line);
         let entrance = self.clone();
         let failed = move |text: String| {
-            warn!(text, "a connection's coroutine failed");
-            // Its task, if any, ends as its time runs out.
-            Connection { entrance: &entrance, handle: &handle, task: None }.leave(number, End::Failed);
+            warn!(text, "a connection's coroutine failed as it ended");
+            wire::lock(&entrance.open).remove(&number);
         };
         if wire::spawn(STACK_WORDS, work, failed).is_err() {
             wire::lock(&self.open).remove(&number);
@@ -210,40 +280,102 @@
 struct Connection<'a> {
     entrance: &'a Entrance,
     handle: &'a Handle,
+    number: u64,
     /// The task whose answer is awaited, and whether the sidecar wants no further one here.
     task: Option<(String, bool)>,
 }
 
 impl Connection<'_> {
-    fn serve(&mut self, mut line: Line) -> (End, Line) {
+    /// Carries the connection from its first byte to its last.
+    fn carry(mut self, mut line: Line) {
+        let end = wire::guarded(|| self.serve(&mut line)).unwrap_or_else(|text| {
+            warn!(text, "a connection's coroutine failed");
+            End::Failed
+        });
+        if let Some((id, _)) = self.task.take() {
+            if end == End::Failed {
+                answer::write(line.out(), &Answer::Abandoned, None, true);
+                // If it does not go, the connection ends without it.
+                let _ = line.flush();
+            }
+            if end.caller_gone() {
+                let from = self.handle.clone();
+                // The owner is gone only with the program.
+                let _ = self.entrance.owner.send(Heard::CallerGone { id, from, end });
+            }
+        }
+        self.entrance.counters.connection_ends.add(end);
+        if matches!(end, End::Finished | End::Idle | End::Closed | End::Garbled | End::Crowded | End::Expired)
+        {
+            self.stand(Stand::Leaving);
+            self.linger(&mut line);
+        }
+        wire::lock(&self.entrance.open).remove(&self.number);
+        for order in self.handle.close() {
+            if matches!(order, Order::Answer(_)) {
+                self.entrance.counters.answers_lost.add();
+            }
+        }
+    }
+
+    /// Ends the writing side and reads on: a socket closed with unread bytes would reset the connection and
+    /// lose the last answer. Bounded in bytes here, and in time by the sweep.
+    fn linger(&self, line: &mut Line) {
+        if !line.shutdown() {
+            return;
+        }
+        let (mut scratch, mut left) = (Vec::new(), self.entrance.bounds.linger_bytes);
+        while left > 0 {
+            while let Some(order) = self.handle.take() {
+                if matches!(order, Order::Close(_)) {
+                    return;
+                }
+            }
+            scratch.clear();
+            match line.fill(&mut scratch, LINGER_CHUNK) {
+                Ok(Filled::End) | Err(_) => return,
+                Ok(Filled::All) if scratch.is_empty() => line.wait(),
+                Ok(_) => may::coroutine::yield_now(),
+            }
+            left = left.saturating_sub(scratch.len());
+        }
+    }
+
+    /// Notes how the connection stands from now on.
+    fn stand(&self, stand: Stand) {
+        if let Some(seat) = wire::lock(&self.entrance.open).get_mut(&self.number) {
+            (seat.stand, seat.since) = (stand, Instant::now());
+        }
+    }
+
+    fn serve(&mut self, line: &mut Line) -> End {
         let mut reader = Reader::default();
-        let (mut last, mut sends, mut used) = (None, true, Instant::now());
+        let (mut last, mut sends, mut stood) = (None, true, Stand::New);
         loop {
-            let (mut filled, mut idle_for) = (Filled::All, None);
+            let (mut filled, mut close, mut moved) = (Filled::All, None, false);
             while let Some(order) = self.handle.take() {
                 match order {
                     Order::Answer(answer) => {
-                        let close = self.answer(line.out(), &answer);
-                        last = last.or(close.then_some(End::Finished));
-                        used = Instant::now();
+                        let ends = self.answer(line.out(), &answer);
+                        last = last.or(ends.then_some(End::Finished));
+                        moved = true;
                     }
-                    Order::CloseIdle(span) => idle_for = Some(span),
+                    Order::Close(end) => close = Some(end),
                 }
             }
             if sends && last.is_none() {
-                let before = reader.buffer.len();
                 match line.fill(&mut reader.buffer, Reader::ROOM) {
                     Ok(found) => filled = found,
-                    Err(end) => return (end, line),
+                    Err(end) => return end,
                 }
                 sends = filled != Filled::End;
-                if reader.buffer.len() > before {
-                    used = Instant::now();
-                }
             }
             while self.task.is_none() && last.is_none() {
-                match reader.next_asked(&self.entrance.names) {
-                    Ok(Some(message)) => last = self.asked(message, line.out()).then_some(End::Finished),
+                match reader.next_asked(&self.entrance.names, self.entrance.clock.micros() / 1000) {
+                    Ok(Some(message)) => {
+                        last = self.asked(message, line.out()).then_some(End::Finished);
+                        moved = true;
+                    }
                     Ok(None) => break,
                     Err(bad) => {
                         debug!(%bad, "a message can't be taken");
@@ -255,25 +387,48 @@
                 }
             }
             if let Err(end) = line.flush() {
-                return (end, line);
+                return end;
             }
-            // Closed as idle only where nothing is under way, once all that came is read.
-            let quiet = self.task.is_none() && line.clear() && reader.buffer.is_empty();
-            if last.is_none() && quiet && idle_for.is_some_and(|span| used.elapsed() >= span) {
-                last = Some(End::Idle);
-            }
-            if !sends && last.is_none() && self.task.is_none() {
+            if self.task.is_none() && !sends && last.is_none() {
                 last = Some(if reader.buffer.is_empty() { End::Closed } else { End::Truncated });
             }
+            // Told to close, it does so only where nothing is under way, once all that came is read.
+            if let Some(end) = close.filter(|_| self.task.is_none() && !moved) {
+                if !line.clear() {
+                    return End::Reset;
+                }
+                if last.is_none() && !(end == End::Idle && !reader.buffer.is_empty()) {
+                    last = Some(end);
+                }
+            }
             // A sidecar that sends no more and reads no more either is gone.
             if !sends && line.broken() {
-                return (End::Reset, line);
+                return End::Reset;
             }
             match last {
-                Some(end) if line.clear() && self.task.is_none() => return (end, line),
-                // What there was no room for is read now, or, while a task is open, after its answer.
-                _ if filled == Filled::Full && reader.buffer.len() < Reader::ROOM => {}
-                _ => line.wait(),
+                Some(end) if line.clear() && self.task.is_none() => return end,
+                _ => {}
+            }
+            let stand = match stood {
+                _ if self.task.is_some() => Stand::Busy,
+                // Bytes that make no message yet give it no further time.
+                Stand::New if !moved => Stand::New,
+                _ if !line.clear() || !reader.buffer.is_empty() => Stand::Halfway,
+                _ => Stand::Resting,
+            };
+            if moved || stand != stood {
+                stood = stand;
+                self.stand(stand);
+            }
+            if reader.buffer.is_empty() {
+                // What rests needs no buffer.
+                reader.buffer = Vec::new();
+            }
+            // What there was no room for is read now, or, while a task is open, after its answer.
+            if filled == Filled::Full && reader.buffer.len() < Reader::ROOM {
+                may::coroutine::yield_now();
+            } else {
+                line.wait();
             }
         }
     }
@@ -307,21 +462,4 @@
         answer::write(out, answer, standing.free(), last);
         last
     }
-
-    /// Takes the connection off the list; the owner hears of a task that still waited on it.
-    fn leave(&mut self, number: u64, end: End) {
-        wire::lock(&self.entrance.open).remove(&number);
-        self.entrance.counters.connection_ends.add(end);
-        for order in self.handle.close() {
-            if matches!(order, Order::Answer(_)) {
-                self.entrance.counters.answers_lost.add();
-            }
-        }
-        if let Some((id, _)) = self.task.take() {
-            if end.caller_gone() {
-                // The owner is gone only with the program.
-                let _ = self.entrance.owner.send(Heard::CallerGone { id, end });
-            }
-        }
-    }
 }
--- a/crates/lynxtally-node/src/config.rs
+++ b/crates/lynxtally-node/src/config.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// All that a node is told.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Config {
     /// Its name, the same after a restart.
     pub name: String,
@@ -30,6 +30,69 @@
     pub declared: Declared,
 }
 
+/// What the node's own sockets and memory are held to: one place for all such bounds, as ratios to `limits`
+/// and settings.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Connections from sidecars at most.
+    pub connections: usize,
+    /// How long a message may take until it is whole, and an answer until it is taken.
+    pub message: Duration,
+    /// How long a connection is read on after our last byte.
+    pub linger: Duration,
+    /// How many bytes of it.
+    pub linger_bytes: usize,
+    /// After how long a connection that carries nothing is one that its sidecar has forgotten.
+    pub idle: Option<Duration>,
+    /// What kept results take at most, in bytes.
+    pub results: usize,
+}
+
+/// Sidecars get this part of the descriptors; the rest stands for kernel, ledger, control plane and files.
+const SIDECARS_PART: f64 = 0.75;
+/// A message that takes longer is not waited for, however long a task may.
+const MESSAGE_MOST: Duration = Duration::from_secs(2);
+/// The part of that for which a connection is read on after our last byte.
+const LINGER_PART: u32 = 2;
+/// Sidecars close what carries nothing after the time that the settings name; this many times that is forgotten.
+const FORGOTTEN: u32 = 2;
+/// Kept results take this part of the memory at most.
+const RESULTS_PART: f64 = 0.25;
+
+impl Config {
+    /// The bounds that follow from it.
+    pub fn bounds(&self) -> Bounds {
+        let settings = &self.declared.settings;
+        let span = |span: lynxtally::Span| Duration::from_micros(span.micros());
+        let longest = settings.stages.iter().map(|stage| span(stage.limit)).max().unwrap_or(MESSAGE_MOST);
+        let connections = (self.sockets as f64 * SIDECARS_PART) as usize;
+        let message = longest.min(MESSAGE_MOST);
+        Bounds {
+            connections,
+            message,
+            linger: message / LINGER_PART,
+            // All of them together take in no more than there is memory.
+            linger_bytes: self.memory / connections,
+            idle: Some(span(settings.idle_after) * FORGOTTEN).filter(|idle| !idle.is_zero()),
+            results: (self.memory as f64 * RESULTS_PART) as usize,
+        }
+    }
+
+    /// The keys whose values differ in a newer configuration and can't take effect in a running program.
+    pub fn fixed(&self, newer: &Self) -> Vec<&'static str> {
+        [
+            ("name", self.name != newer.name),
+            ("listen", self.listen != newer.listen),
+            ("limits.sockets", self.sockets != newer.sockets),
+            ("limits.memory_mb", self.memory != newer.memory),
+            ("settings", self.declared != newer.declared),
+        ]
+        .into_iter()
+        .filter_map(|(key, differs)| differs.then_some(key))
+        .collect()
+    }
+}
+
 /// The file as it stands. Unknown keys are ignored.
 #[derive(Deserialize)]
 struct File {
--- a/crates/lynxtally-node/src/control.rs
+++ b/crates/lynxtally-node/src/control.rs
@@ -8,34 +8,37 @@
 use std::time::Duration;
 use tracing::debug;
 
-/// A node is listed for three of these after its last report.
-const EVERY: Duration = Duration::from_secs(1);
+/// A node is listed for ten of these after its last report. One that is well stays listed though most of its
+/// reports are lost; they cost one datagram each.
+const EVERY: Duration = Duration::from_millis(300);
 
 /// What the reporting coroutine hears.
 #[derive(Clone, Copy, Debug)]
 pub enum State {
     /// This is how the node is from now on.
     Is(bool),
-    /// A second is over.
+    /// The control plane is here from now on.
+    At(SocketAddr),
+    /// It is time for the next report.
     Again,
 }
 
-/// Tells the control plane how this node is, and again each second. That datagrams can't be sent, as while
+/// Tells the control plane how this node is, and again and again. That datagrams can't be sent, as while
 /// the control plane is down, is counted and does no harm.
 pub fn report(
     name: &str,
-    at: SocketAddr,
+    mut at: SocketAddr,
     states: &Receiver<State>,
     again: &Sender<State>,
     alarm: &Alarm,
     counters: &Counters,
 ) {
-    let any: SocketAddr = if at.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0_u16; 8], 0).into() };
     let mut socket: Option<UdpSocket> = None;
     let mut ready = None;
     while let Ok(state) = states.recv() {
         match state {
             State::Is(now) => ready = Some(now),
+            State::At(now) => (at, socket) = (now, None),
             State::Again => {
                 let again = again.clone();
                 // Nobody hears it only where the program ends.
@@ -46,6 +49,7 @@
         }
         let Some(ready) = ready else { continue };
         let text = format!("lease {name} {}", if ready { "Ready" } else { "NotReady" });
+        let any: SocketAddr = if at.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0_u16; 8], 0).into() };
         let made = || UdpSocket::bind(any).and_then(|socket| socket.set_nonblocking(true).map(|()| socket));
         let sent = match &socket {
             Some(socket) => Ok(socket),
@@ -80,4 +84,10 @@
             let _ = self.states.send(State::Is(ready));
         }
     }
+
+    /// The control plane is elsewhere from now on.
+    pub fn move_to(&self, at: SocketAddr) {
+        // As above.
+        let _ = self.states.send(State::At(at));
+    }
 }
--- a/crates/lynxtally-node/src/decide.rs
+++ b/crates/lynxtally-node/src/decide.rs
@@ -10,10 +10,9 @@
 use crate::control::Reporter;
 use crate::counters::Counters;
 use crate::end::End;
-use crate::kernel::{self, Command, Notice, Reaped};
+use crate::kernel::{Command, Notice, Orders, Reaped};
 use crate::ledger::{self, Call, Ended, Ledger};
 use crate::repeats::{Key, Repeats, Settled};
-use crate::wire::Outbox;
 use lynxtally::{
     Action, Arrival, CallOutcome, Door, Effect, Event, Gauges, Instant, Policy, Repeat, RunOutcome, Span,
     TaskId,
@@ -32,6 +31,8 @@
     CallerGone {
         /// The task's name.
         id: String,
+        /// The connection; another's task may have the same name.
+        from: accept::Handle,
         /// How the connection ended.
         end: End,
     },
@@ -52,6 +53,8 @@
     Due,
     /// The notice to leave.
     Leave,
+    /// What the program is told from now on.
+    Configured(Box<Config>),
     /// The listener is closed.
     Closed,
 }
@@ -59,6 +62,8 @@
 /// What falls due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
+    /// Close connections whose time is over.
+    Sweep,
     /// Ask for the gauges.
     Ask,
     /// The module's timer.
@@ -95,10 +100,10 @@
 const ASK_AHEAD: f64 = 0.25;
 /// Gauges older than this many periods are none.
 const GAUGES_KEPT: f64 = 2.0;
+/// Connections are looked at for their time so many times the span in which a message must be whole.
+const SWEEPS: f64 = 0.1;
 /// While leaving, the listener closes after this part of the time, by when the lists have followed.
 const CLOSE_AFTER: f64 = 0.8;
-/// Kept results take this part of the memory at most.
-const RESULTS_PART: f64 = 0.25;
 /// A task that crosses the closing of its connection within this is sent once more elsewhere.
 const CROSSING: Span = Span::from_millis(60);
 
@@ -130,7 +135,7 @@
     alarm: Alarm,
     owner: Sender<Heard>,
     reporter: Reporter,
-    kernel: Arc<Outbox<Command>>,
+    kernel: Arc<Orders>,
     ledger: Arc<Ledger>,
     entrance: Arc<Entrance>,
     standing: Arc<Standing>,
@@ -146,7 +151,7 @@
     /// Reports to the control plane.
     pub reporter: Reporter,
     /// Commands to the kernel.
-    pub kernel: Arc<Outbox<Command>>,
+    pub kernel: Arc<Orders>,
     /// Calls to the ledger.
     pub ledger: Arc<Ledger>,
     /// Connections from sidecars.
@@ -161,7 +166,7 @@
     /// An owner that waits for the kernel to come up.
     pub fn new(config: Config, parts: Parts) -> Self {
         let Parts { alarm, owner, reporter, kernel, ledger, entrance, standing, counters } = parts;
-        let repeats = Repeats::new((config.memory as f64 * RESULTS_PART) as usize);
+        let repeats = Repeats::new(config.bounds().results);
         Self {
             config,
             clock: Clock::default(),
@@ -169,7 +174,7 @@
             door: Door::default(),
             open: Vec::new(),
             actions: Vec::new(),
-            due: BTreeSet::new(),
+            due: BTreeSet::from([(Instant::default(), Due::Sweep)]),
             armed: None,
             calls: 0,
             brought: Vec::new(),
@@ -262,9 +267,9 @@
     fn hear(&mut self, now: Instant, message: Heard) {
         match message {
             Heard::Taken(taken) => self.taken(now, taken),
-            Heard::CallerGone { id, end } => {
+            Heard::CallerGone { id, from, end } => {
                 if let Some((task, open)) = self.find(&id) {
-                    if open.from.take().is_some() {
+                    if open.from.take_if(|own| Arc::ptr_eq(own, &from)).is_some() {
                         debug!(id, %end, "caller gone");
                         self.counters.caller_gone.add();
                         self.counters.open.less();
@@ -288,6 +293,7 @@
                 self.due.insert((now + (stop - self.period), Due::Exit));
             }
             Heard::Leave | Heard::Due => {}
+            Heard::Configured(config) => self.configure(*config),
             Heard::Closed => {
                 self.closed = Some(now);
                 self.due.insert((now + CROSSING, Due::Crossed));
@@ -296,6 +302,28 @@
         }
     }
 
+    /// Takes a new configuration over. The addresses and the time until the kill take effect at once, here and
+    /// nowhere else; runs, notices, tasks and counts go on.
+    fn configure(&mut self, newer: Config) {
+        let fixed = self.config.fixed(&newer);
+        let (kernel, ledger, control) = (newer.kernel, newer.ledger, newer.control);
+        info!(%kernel, %ledger, %control, "configuration read anew");
+        if !fixed.is_empty() {
+            warn!(keys = fixed.join(", "), "changed keys that take effect only at the next start");
+        }
+        if self.config.kernel != kernel {
+            self.kernel.move_to(kernel);
+        }
+        if self.config.ledger != ledger {
+            self.ledger.move_to(ledger);
+        }
+        if self.config.control != control {
+            self.reporter.move_to(control);
+        }
+        (self.config.kernel, self.config.ledger, self.config.control) = (kernel, ledger, control);
+        self.config.stop = newer.stop;
+    }
+
     fn find(&mut self, id: &str) -> Option<(TaskId, &mut Open)> {
         let task = self.door.find(id)?;
         Some((task, self.open.get_mut(task.0 as usize)?.as_mut()?))
@@ -368,15 +396,16 @@
                     self.policy = Some(policy);
                 }
             }
-            Notice::Gauges { tag, .. } if tag == kernel::SYNC => {
+            Notice::Synced(link) => {
                 // All that happened without a link has been told by now. What no effect is known of is said
                 // again.
                 self.linked = true;
+                self.kernel.begin(link);
                 for command in self.open.iter().flatten().flat_map(|open| &open.unconfirmed) {
-                    self.kernel.push(command.clone());
+                    self.kernel.say(command.clone());
                 }
             }
-            Notice::Gauges { values, .. } => {
+            Notice::Gauges(values) => {
                 let names = &self.config.declared.gauges;
                 let named = |name| Some(*values.get(names.iter().position(|known| known == name)?)?);
                 let gauges = Gauges { cores_busy: named("cpu_busy"), connections: named("sockets") };
@@ -384,7 +413,8 @@
             }
             Notice::AtCall { id, body } => {
                 let Some((task, open)) = self.find(&id) else { return self.unknown(&id) };
-                open.unconfirmed.clear();
+                // A stop may have crossed this notice: only a run's end shows its effect.
+                open.unconfirmed.retain(|command| matches!(command, Command::Stop(_)));
                 open.call_body = body;
                 self.tell(now, Event::AtCall(task));
             }
@@ -469,7 +499,12 @@
     fn fall_due(&mut self, now: Instant, due: Due) {
         match due {
             Due::Ask if self.linked => {
-                self.kernel.push(Command::Gauges(kernel::GAUGES));
+                self.kernel.say(Command::Gauges);
+            }
+            Due::Sweep => {
+                self.entrance.sweep();
+                let message = Span::from_micros(self.config.bounds().message.as_micros() as u64);
+                self.due.insert((now + message * SWEEPS, Due::Sweep));
             }
             Due::Ask | Due::Crossed => {}
             Due::Timer => {
@@ -510,7 +545,7 @@
         let Some(open) = self.open[task.0 as usize].as_mut() else { return };
         open.unconfirmed.push(command.clone());
         if self.linked {
-            self.kernel.push(command);
+            self.kernel.say(command);
         }
     }
 
--- a/crates/lynxtally-node/src/end.rs
+++ b/crates/lynxtally-node/src/end.rs
@@ -27,13 +27,17 @@
     Idle,
     /// We closed it after the last answer on it.
     Finished,
+    /// We closed it to make room for others.
+    Crowded,
+    /// We left it for another address.
+    Moved,
     /// Our own code failed on it.
     Failed,
 }
 
 impl End {
     /// All ends, in the order of their numbers.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 13] = [
         Self::Closed,
         Self::Truncated,
         Self::Reset,
@@ -44,6 +48,8 @@
         Self::Garbled,
         Self::Idle,
         Self::Finished,
+        Self::Crowded,
+        Self::Moved,
         Self::Failed,
     ];
 
@@ -91,6 +97,8 @@
             Self::Garbled => "garbled",
             Self::Idle => "idle",
             Self::Finished => "finished",
+            Self::Crowded => "crowded",
+            Self::Moved => "moved",
             Self::Failed => "failed",
         }
     }
--- a/crates/lynxtally-node/src/http.rs
+++ b/crates/lynxtally-node/src/http.rs
@@ -1,23 +1,42 @@
 //! HTTP/1.1 as sidecars and the ledger speak it: bytes in, small typed values out. No socket is known here,
 //! and the protocol's names end here.
 
+use lynxtally_settings::Declared;
 use std::fmt;
 
 /// Room for a message's head.
 pub const HEAD_MOST: usize = 8 * 1024;
 /// Room for a task's body.
 pub const BODY_MOST: usize = 2 * 1024;
+/// Tasks book less memory than this, in kilobytes.
+const KB_MOST: f64 = 2000.0;
+/// A mark or subject is no longer than this.
+const MARK_MOST: usize = 64;
 /// Room for what the ledger replies.
 pub const REPLY_MOST: usize = 64 * 1024;
 const FIELDS_MOST: usize = 64;
 
-/// The names behind the indices of stages and customers.
+/// What a task is checked against.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
     /// The stages' names.
     pub stages: Vec<String>,
     /// The customers' names.
     pub customers: Vec<String>,
+    /// The longest time limit, in milliseconds: nobody waits for a task that came longer ago.
+    pub longest_ms: u64,
+}
+
+impl Names {
+    /// As the settings declare them.
+    pub fn of(declared: &Declared) -> Self {
+        let longest = declared.settings.stages.iter().map(|stage| stage.limit).max().unwrap_or_default();
+        Self {
+            stages: declared.stages.clone(),
+            customers: declared.customers.clone(),
+            longest_ms: longest.micros() / 1000,
+        }
+    }
 }
 
 /// A task as a sidecar sent it.
@@ -141,8 +160,8 @@
     /// How much may be buffered of what a sidecar sends: one message whole, and a bit of the next.
     pub const ROOM: usize = HEAD_MOST + BODY_MOST;
 
-    /// The next whole message from a sidecar.
-    pub fn next_asked(&mut self, names: &Names) -> Result<Option<Message<Asked>>, Bad> {
+    /// The next whole message from a sidecar, read at this time of the Unix clock.
+    pub fn next_asked(&mut self, names: &Names, now_ms: u64) -> Result<Option<Message<Asked>>, Bad> {
         // Empty lines before a message are allowed for.
         let blank = self.buffer.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
         self.buffer.drain(..blank);
@@ -164,7 +183,7 @@
                     return Ok(None);
                 }
                 let body = self.buffer[start..start + length].to_vec();
-                Asked::Task(Box::new(found.task(stage, names, body)?))
+                Asked::Task(Box::new(found.task(stage, names, now_ms, body)?))
             }
             (Some(("", "alive") | ("/ops", _)), _) => return Err(Bad::Method),
             _ => return Err(Bad::Path),
@@ -176,8 +195,23 @@
         Ok(Some(Message { what, last }))
     }
 
-    /// The next whole reply of the ledger.
+    /// The next whole reply of the ledger. What only announces one (1xx) is passed over.
     pub fn next_reply(&mut self) -> Result<Option<Message<Reply>>, Bad> {
+        loop {
+            let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
+            let mut head = httparse::Response::new(&mut fields);
+            let parsed = head.parse(&self.buffer);
+            let Some(start) = body_start(parsed, self.buffer.len())? else { return Ok(None) };
+            match head.code {
+                // After a change of protocols nothing here can be read.
+                Some(101) => return Err(Bad::Head),
+                Some(100..=199) => drop(self.buffer.drain(..start)),
+                _ => return self.whole_reply(),
+            }
+        }
+    }
+
+    fn whole_reply(&mut self) -> Result<Option<Message<Reply>>, Bad> {
         let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
         let mut head = httparse::Response::new(&mut fields);
         let Some(start) = body_start(head.parse(&self.buffer), self.buffer.len())? else { return Ok(None) };
@@ -286,28 +320,38 @@
         Ok(found)
     }
 
-    fn task(&self, stage: &str, names: &Names, body: Vec<u8>) -> Result<Sent, Bad> {
+    fn task(&self, stage: &str, names: &Names, now_ms: u64, body: Vec<u8>) -> Result<Sent, Bad> {
+        // Digits, and where fractions are meant a point: no signs, no exponents, nothing endless.
         fn number<T: std::str::FromStr>(text: Option<&str>, name: &'static str) -> Result<T, Bad> {
-            text.and_then(|text| text.parse().ok()).ok_or(Bad::Field(name))
+            let plain = |text: &&str| text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+            text.filter(plain).and_then(|text| text.parse().ok()).ok_or(Bad::Field(name))
+        }
+        fn within<T>(value: T, fits: bool, name: &'static str) -> Result<T, Bad> {
+            fits.then_some(value).ok_or(Bad::Field(name))
         }
-        let within = |value: f64, fits: bool, name| if fits { Ok(value) } else { Err(Bad::Field(name)) };
         let known = |names: &[String], name: &str| names.iter().position(|known| known == name);
         let hex = |text: &&str| text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let mark = |text: Option<&str>, name| {
+            let fits = text.is_none_or(|text| !text.is_empty() && text.len() <= MARK_MOST);
+            within(text.map(str::to_owned), fits, name)
+        };
         let kb: f64 = number(self.kb, KB)?;
         let place: f64 = number(self.place, PLACE)?;
+        let arrived_ms: u64 = number(self.arrived, ARRIVED)?;
         Ok(Sent {
             id: self.id.filter(hex).ok_or(Bad::Field(ID))?.to_owned(),
-            arrived_ms: number(self.arrived, ARRIVED)?,
+            // What came before anybody's limit or will come in the future would teach the module nonsense.
+            arrived_ms: within(arrived_ms, arrived_ms.abs_diff(now_ms) <= names.longest_ms, ARRIVED)?,
             stage: known(&names.stages, stage).ok_or(Bad::Stage)?,
             customer: match self.customer {
                 Some(name) => Some(known(&names.customers, name).ok_or(Bad::Customer)?),
-                None => None,
+                None => within(None, names.customers.is_empty(), CUSTOMER)?,
             },
             caller: number(self.caller, CALLER)?,
-            kb: within(kb, kb > 0.0 && kb.is_finite(), KB)?,
+            kb: within(kb, kb > 0.0 && kb < KB_MOST, KB)?,
             place: within(place, (0.0..1.0).contains(&place), PLACE)?,
-            subject: self.subject.map(str::to_owned),
-            mark: self.mark.map(str::to_owned),
+            subject: mark(self.subject, SUBJECT)?,
+            mark: mark(self.mark, MARK)?,
             body,
         })
     }
--- a/crates/lynxtally-node/src/kernel.rs
+++ b/crates/lynxtally-node/src/kernel.rs
@@ -5,11 +5,11 @@
 use crate::counters::Counters;
 use crate::decide::Heard;
 use crate::end::End;
-use crate::wire::{Filled, Line, Outbox};
+use crate::wire::{lock, Filled, Line, Outbox};
 use may::sync::mpsc::Sender;
 use std::io::Write;
 use std::net::SocketAddr;
-
+use std::sync::Mutex;
 use std::time::Duration;
 use tracing::{debug, info, warn};
 
@@ -19,14 +19,17 @@
 /// How long one attempt to connect may take, and the pause after one that failed.
 const CONNECT: Duration = Duration::from_secs(1);
 const PAUSE: Duration = Duration::from_millis(20);
-/// The tag whose gauges close what a new link is told of the time without one.
-pub const SYNC: &str = "sync";
 /// The tag of gauges for the module.
-pub const GAUGES: &str = "gauges";
+const GAUGES: &str = "gauges";
+/// What the tag begins with whose gauges close what a new link is told of the time without one; the link's
+/// number follows.
+const SYNC: &str = "sync-";
 
 /// What the kernel is told to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
+    /// The first on a link: tell all notices after this one.
+    Open(u64),
     /// Run a task, with the body as it came.
     Run {
         /// Its name.
@@ -47,8 +50,10 @@
         /// The reply, unchanged.
         body: Vec<u8>,
     },
-    /// Tell the gauges under this tag.
-    Gauges(&'static str),
+    /// Tell the gauges.
+    Gauges,
+    /// Say when all that came before this was told; the link's number.
+    Sync(u64),
 }
 
 impl Command {
@@ -63,17 +68,60 @@
             }
         };
         match self {
+            Self::Open(seen) => part(format_args!("OPEN {seen}"), None),
             Self::Run { id, stage, body } => {
                 part(format_args!("SCHED {id} {stage} {}", body.len()), Some(body));
             }
             Self::Stop(id) => part(format_args!("PREEMPT {id}"), None),
             Self::Resume(id) => part(format_args!("RESCHED {id}"), None),
             Self::Reply { id, body } => part(format_args!("IODONE {id} {}", body.len()), Some(body)),
-            Self::Gauges(tag) => part(format_args!("SYSINFO {tag}"), None),
+            Self::Gauges => part(format_args!("SYSINFO {GAUGES}"), None),
+            Self::Sync(link) => part(format_args!("SYSINFO {SYNC}{link}"), None),
         }
     }
 }
 
+/// What the link is told.
+enum Order {
+    /// Write this.
+    Say(Command),
+    /// What comes after this is meant for the link with this number; what came before it, for an earlier one.
+    From(u64),
+}
+
+/// Where the owner leaves commands, and where the kernel is.
+pub struct Orders {
+    waiting: Outbox<Order>,
+    at: Mutex<SocketAddr>,
+}
+
+impl Orders {
+    /// No orders yet, for a kernel at this address.
+    pub fn new(at: SocketAddr) -> Self {
+        Self { waiting: Outbox::default(), at: Mutex::new(at) }
+    }
+
+    /// Has a command written on the present link.
+    pub fn say(&self, command: Command) {
+        self.waiting.push(Order::Say(command));
+    }
+
+    /// From now on commands are meant for the link with this number.
+    pub fn begin(&self, link: u64) {
+        self.waiting.push(Order::From(link));
+    }
+
+    /// The kernel is elsewhere from now on.
+    pub fn move_to(&self, at: SocketAddr) {
+        *lock(&self.at) = at;
+        self.waiting.wake();
+    }
+
+    fn at(&self) -> SocketAddr {
+        *lock(&self.at)
+    }
+}
+
 /// How a run ended, by the kernel's word.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reaped {
@@ -114,12 +162,9 @@
         body: Vec<u8>,
     },
     /// The gauges, in the order of the settings.
-    Gauges {
-        /// The tag that they were asked under.
-        tag: String,
-        /// Their values.
-        values: Vec<f64>,
-    },
+    Gauges(Vec<f64>),
+    /// All that happened before the link with this number was made has been told.
+    Synced(u64),
     /// A command was not carried out.
     Refused {
         /// The command's word.
@@ -134,40 +179,57 @@
 /// Bytes from the kernel, split anywhere, and the notices in them.
 #[derive(Debug, Default)]
 pub struct Reader {
-    /// What was read and not understood yet.
+    /// What was read.
     pub buffer: Vec<u8>,
+    /// How much of it was understood.
+    understood: usize,
 }
 
 impl Reader {
     /// How much may be buffered.
     pub const ROOM: usize = LINE_MOST + PART_MOST + 4;
 
+    /// Whether nothing waits to be understood.
+    pub fn is_empty(&self) -> bool {
+        self.understood == self.buffer.len()
+    }
+
+    /// Where bytes are added. What was understood is dropped here, once for all notices of one read: dropped
+    /// with each, a large read would be moved as often as it has notices.
+    pub fn room(&mut self) -> &mut Vec<u8> {
+        self.buffer.drain(..std::mem::take(&mut self.understood));
+        &mut self.buffer
+    }
+
     /// The next whole notice, with its number where it has one.
     pub fn next_notice(&mut self) -> Result<Option<(Option<u64>, Notice)>, End> {
-        let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\r\n") else {
-            return if self.buffer.len() > LINE_MOST { Err(End::Garbled) } else { Ok(None) };
+        let bytes = &self.buffer[self.understood..];
+        // A remark means nothing, however long it is and whatever it is made of.
+        let most = if bytes.starts_with(b"DMESG ") { PART_MOST } else { LINE_MOST };
+        let Some(end) = bytes.windows(2).position(|pair| pair == b"\r\n") else {
+            return if bytes.len() > most { Err(End::Garbled) } else { Ok(None) };
         };
-        let text = std::str::from_utf8(&self.buffer[..end]).map_err(|_| End::Garbled)?;
-        let words: Vec<&str> = text.split(' ').collect();
-        let length = match words[0] {
-            "REAP" | "IOREQ" => Some(number::<usize>(words.last().copied())?),
+        let text = String::from_utf8_lossy(&bytes[..end]);
+        let words: Vec<&str> = text.split_ascii_whitespace().collect();
+        let length = match words.first() {
+            Some(&("REAP" | "IOREQ")) => Some(number::<usize>(words.last().copied())?),
             _ => None,
         };
         let start = end + 2;
-        let whole = start + length.map_or(0, |length| length + 2);
         if length.is_some_and(|length| length > PART_MOST) {
             return Err(End::Garbled);
         }
-        if self.buffer.len() < whole {
+        let whole = start + length.map_or(0, |length| length + 2);
+        if bytes.len() < whole {
             return Ok(None);
         }
-        let part = length.map_or(&[][..], |length| &self.buffer[start..start + length]);
-        if length.is_some() && &self.buffer[whole - 2..whole] != b"\r\n" {
+        let part = length.map_or(&[][..], |length| &bytes[start..start + length]);
+        if length.is_some() && &bytes[whole - 2..whole] != b"\r\n" {
             return Err(End::Garbled);
         }
         let notice = match words[..] {
             ["BOOTED", state @ ("COLD" | "WARM"), ms] => {
-                (None, Notice::Booted { cold: state == "COLD", ms: number(Some(ms))? })
+                (None, Notice::Booted { cold: state == "COLD", ms: figure(ms)? })
             }
             ["REAP", n, id, how, _ms, _length] => {
                 let how = match how {
@@ -182,41 +244,49 @@
             ["IOREQ", n, id, _length] => {
                 (Some(number(Some(n))?), Notice::AtCall { id: id.to_owned(), body: part.to_vec() })
             }
-            ["INFO", tag, ref values @ ..] => {
-                let values = values.iter().map(|value| number(Some(value))).collect::<Result<_, _>>()?;
-                (None, Notice::Gauges { tag: tag.to_owned(), values })
-            }
+            ["INFO", tag, ref values @ ..] => match tag.strip_prefix(SYNC) {
+                Some(link) => (None, Notice::Synced(number(Some(link))?)),
+                None => {
+                    let values = values.iter().map(|value| figure(value)).collect::<Result<_, _>>()?;
+                    (None, Notice::Gauges(values))
+                }
+            },
             ["EINVAL", command, ref id @ ..] => {
                 (None, Notice::Refused { command: command.to_owned(), id: id.join(" ") })
             }
-            ["DMESG", n, ref text @ ..] => (Some(number(Some(n))?), Notice::Remark(text.join(" "))),
+            ["DMESG", ref text @ ..] => (number(text.first().copied()).ok(), Notice::Remark(text.join(" "))),
             _ => return Err(End::Garbled),
         };
-        self.buffer.drain(..whole);
+        self.understood += whole;
         Ok(Some(notice))
     }
 }
 
+/// A number that means something: not negative, not endless.
+fn figure(word: &str) -> Result<f64, End> {
+    number::<f64>(Some(word)).and_then(|value| {
+        let fits = value >= 0.0 && value.is_finite();
+        fits.then_some(value).ok_or(End::Garbled)
+    })
+}
+
 fn number<T: std::str::FromStr>(word: Option<&str>) -> Result<T, End> {
     word.and_then(|word| word.parse().ok()).ok_or(End::Garbled)
 }
 
-/// Holds a link to the kernel open for as long as the program runs, and makes a new one when it breaks.
-pub fn hold(
-    at: SocketAddr,
-    orders: &Outbox<Command>,
-    owner: &Sender<Heard>,
-    alarm: &Alarm,
-    counters: &Counters,
-) {
-    let mut seen = 0;
+/// Holds a link to the kernel open for as long as the program runs, and makes a new one when it breaks or the
+/// kernel is elsewhere.
+pub fn hold(orders: &Orders, owner: &Sender<Heard>, alarm: &Alarm, counters: &Counters) {
+    let (mut seen, mut link) = (0, 0);
     loop {
+        let at = orders.at();
         match Line::connect(at, CONNECT) {
             Ok(line) => {
                 counters.kernel_links.add();
-                info!(notices_read = seen, "link to the kernel made");
-                let end = carry(line, &mut seen, orders, owner);
-                orders.detach();
+                info!(notices_read = seen, %at, "link to the kernel made");
+                link += 1;
+                let end = carry(line, at, link, &mut seen, orders, owner);
+                orders.waiting.detach();
                 counters.kernel_ends.add(end);
                 if end == End::GivenUp {
                     return;
@@ -231,18 +301,29 @@
                 debug!(%end, "no link to the kernel");
             }
         }
-        alarm.sleep(PAUSE);
+        if orders.at() == at {
+            alarm.sleep(PAUSE);
+        }
     }
 }
 
 /// Carries one link until it ends.
-fn carry(mut line: Line, seen: &mut u64, orders: &Outbox<Command>, owner: &Sender<Heard>) -> End {
+fn carry(
+    mut line: Line,
+    at: SocketAddr,
+    link: u64,
+    seen: &mut u64,
+    orders: &Orders,
+    owner: &Sender<Heard>,
+) -> End {
     let mut reader = Reader::default();
-    let mut synced = false;
-    orders.attach(&line);
-    line.out().extend_from_slice(format!("OPEN {seen}\r\n").as_bytes());
+    // What was ordered before is not lost: once all was told, the owner says again what it knows no effect
+    // of. Written twice, a reply could reach the run's next call.
+    let mut begun = false;
+    orders.waiting.attach(&line);
+    Command::Open(*seen).write(line.out());
     loop {
-        let filled = match line.fill(&mut reader.buffer, Reader::ROOM) {
+        let filled = match line.fill(reader.room(), Reader::ROOM) {
             Ok(filled) => filled,
             Err(end) => return end,
         };
@@ -256,29 +337,29 @@
                 continue;
             }
             *seen = number.unwrap_or(*seen);
-            match &notice {
-                Notice::Booted { .. } => Command::Gauges(SYNC).write(line.out()),
-                // What was ordered before is not lost: on this notice the owner says again what it knows no
-                // effect of. Written here too, a reply could reach the run's next call.
-                Notice::Gauges { tag, .. } if tag == SYNC && !synced => {
-                    synced = true;
-                    while orders.take().is_some() {}
-                }
-                _ => {}
+            if matches!(notice, Notice::Booted { .. }) {
+                Command::Sync(link).write(line.out());
             }
             if owner.send(Heard::Kernel(notice)).is_err() {
                 return End::GivenUp;
             }
         }
         if filled == Filled::End {
-            return if reader.buffer.is_empty() { End::Closed } else { End::Truncated };
+            return if reader.is_empty() { End::Closed } else { End::Truncated };
         }
-        while let Some(order) = orders.take().filter(|_| synced) {
-            order.write(line.out());
+        while let Some(order) = orders.waiting.take() {
+            match order {
+                Order::From(number) => begun = number == link,
+                Order::Say(command) if begun => command.write(line.out()),
+                Order::Say(_) => {}
+            }
         }
         if let Err(end) = line.flush() {
             return end;
         }
+        if orders.at() != at {
+            return End::Moved;
+        }
         if filled == Filled::All {
             line.wait();
         }
--- a/crates/lynxtally-node/src/ledger.rs
+++ b/crates/lynxtally-node/src/ledger.rs
@@ -73,7 +73,7 @@
 
 /// The connections to the ledger.
 pub struct Ledger {
-    at: SocketAddr,
+    at: Mutex<SocketAddr>,
     idle: Mutex<Vec<(Instant, Handle)>>,
     owner: Sender<Heard>,
     counters: Arc<Counters>,
@@ -82,7 +82,15 @@
 impl Ledger {
     /// A ledger to which nothing is connected yet.
     pub fn new(at: SocketAddr, owner: Sender<Heard>, counters: Arc<Counters>) -> Self {
-        Self { at, idle: Mutex::default(), owner, counters }
+        Self { at: Mutex::new(at), idle: Mutex::default(), owner, counters }
+    }
+
+    /// The ledger is elsewhere from now on. Calls under way end as they end.
+    pub fn move_to(&self, at: SocketAddr) {
+        *wire::lock(&self.at) = at;
+        for (_, handle) in wire::lock(&self.idle).drain(..) {
+            handle.push(Order::Close);
+        }
     }
 
     /// Has a call made on a kept connection, or on a new one. The answer comes by message.
@@ -123,9 +131,10 @@
     /// One connection: its calls, one after another.
     fn serve(&self, handle: &Handle) {
         let mut line = None;
+        let at = *wire::lock(&self.at);
         while let Some(order) = handle.take() {
             let Order::Make(call) = order else { continue };
-            let (ended, kept) = self.make(&call, line.take(), handle);
+            let (ended, kept) = self.make(&call, at, line.take(), handle);
             line = kept;
             let Call { id, number, .. } = call;
             if self.owner.send(Heard::Called { id, number, ended }).is_err() {
@@ -133,7 +142,14 @@
             }
             let Some(held) = &line else { break };
             handle.attach(held);
-            wire::lock(&self.idle).push((Instant::now(), handle.clone()));
+            {
+                let mut idle = wire::lock(&self.idle);
+                if *wire::lock(&self.at) != at {
+                    self.ended(End::Moved);
+                    break;
+                }
+                idle.push((Instant::now(), handle.clone()));
+            }
             if self.rest(line.as_mut(), handle).is_some() {
                 // A call that came meanwhile finds a connection of its own.
                 line = None;
@@ -180,12 +196,18 @@
     }
 
     /// Makes one call, on the kept connection if it still stands. What comes back may be kept again.
-    fn make(&self, call: &Call, kept: Option<Line>, handle: &Handle) -> (Ended, Option<Line>) {
+    fn make(
+        &self,
+        call: &Call,
+        at: SocketAddr,
+        kept: Option<Line>,
+        handle: &Handle,
+    ) -> (Ended, Option<Line>) {
         let until = Instant::now() + Duration::from_micros(call.time_out.micros());
         let without = |end, written| (Ended::Without { end: self.ended(end), written }, None);
         let mut line = match kept {
             Some(line) => line,
-            None => match Line::connect(self.at, until.saturating_duration_since(Instant::now())) {
+            None => match Line::connect(at, until.saturating_duration_since(Instant::now())) {
                 Ok(line) => line,
                 Err(end) => return without(end, false),
             },
--- a/crates/lynxtally-node/src/main.rs
+++ b/crates/lynxtally-node/src/main.rs
@@ -9,7 +9,7 @@
 Serves tasks on real sockets as lynxtally decides. CONFIG is the path of the configuration, JSON; without it
 the variable RELAY_CONFIG names the file. RELAY_NAME and RELAY_LISTEN go before what the file says.
 LYNXTALLY_LOG sets what is logged: error, warn, info (the default), debug, trace or off.
-SIGTERM makes it leave, SIGUSR1 print its counters.";
+SIGTERM makes it leave, SIGHUP read CONFIG again, SIGUSR1 print its counters.";
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -30,7 +30,7 @@
         eprintln!("{USAGE}");
         return ExitCode::from(2);
     };
-    match start(&path) {
+    match start(path) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             eprintln!("lynxtally-node: {fault}");
@@ -39,17 +39,19 @@
     }
 }
 
-fn start(path: &str) -> Result<(), String> {
+fn start(path: String) -> Result<(), String> {
     let level = match std::env::var("LYNXTALLY_LOG") {
         Ok(level) => {
             level.parse::<LevelFilter>().map_err(|_| format!("LYNXTALLY_LOG: {level:?} is no level"))?
         }
         Err(_) => LevelFilter::INFO,
     };
-    let text = std::fs::read_to_string(path).map_err(|fault| format!("{path}: {fault}"))?;
-    let config =
-        config::read(&text, |name| std::env::var(name).ok()).map_err(|fault| format!("{path}: {fault}"))?;
+    let read = move || {
+        let text = std::fs::read_to_string(&path).map_err(|fault| format!("{path}: {fault}"))?;
+        config::read(&text, |name| std::env::var(name).ok()).map_err(|fault| format!("{path}: {fault}"))
+    };
+    let config = read()?;
     tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_ansi(false).init();
     node::prepare();
-    node::serve(config)
+    node::serve(config, read)
 }
--- a/crates/lynxtally-node/src/node.rs
+++ b/crates/lynxtally-node/src/node.rs
@@ -8,11 +8,11 @@
 use crate::counters::Counters;
 use crate::decide::{Heard, Owner, Parts};
 use crate::http::Names;
-use crate::kernel;
+use crate::kernel::{self, Orders};
 use crate::ledger::Ledger;
-use crate::wire::{guarded, spawn, Outbox};
+use crate::wire::{guarded, spawn};
 use may::sync::mpsc::{channel, Receiver, Sender};
-use signal_hook::consts::{SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
 use std::io::Write;
 use std::sync::mpsc;
 use std::sync::Arc;
@@ -26,8 +26,6 @@
 /// Prepared coroutines, and how long the event loop sleeps where nothing is due.
 const PREPARED: usize = 32;
 const SLEEP_AT_MOST: Duration = Duration::from_secs(10);
-/// Sidecars get this part of the descriptors; the rest stands for kernel, ledger, control plane and files.
-const SIDECARS_PART: f64 = 0.75;
 /// After the last message the connections get so long to write it.
 const LAST_WORDS: Duration = Duration::from_millis(20);
 
@@ -38,19 +36,21 @@
     may::config().set_timeout_ns(SLEEP_AT_MOST.as_nanos() as u64);
 }
 
-/// Serves until the notice to leave has been followed. An error is one line for the person who started it.
-pub fn serve(config: Config) -> Result<(), String> {
+/// Serves until the notice to leave has been followed; `read` reads the configuration anew where that is asked
+/// for. An error is one line for the person who started it.
+pub fn serve(
+    config: Config,
+    read: impl Fn() -> Result<Config, String> + Send + 'static,
+) -> Result<(), String> {
     let listener = accept::listen(config.listen)
         .map_err(|fault| format!("`listen`: {} can't be listened on: {fault}", config.listen))?;
-    let names =
-        Names { stages: config.declared.stages.clone(), customers: config.declared.customers.clone() };
+    let names = Names::of(&config.declared);
     let counters = Arc::new(Counters::new(&names.stages));
     let standing = Arc::new(Standing::default());
     let (owner, heard) = channel();
     let alarm = Alarm::start().map_err(|fault| format!("a thread can't be started: {fault}"))?;
-    let most = (config.sockets as f64 * SIDECARS_PART) as usize;
     let entrance = Arc::new(Entrance::new(
-        most,
+        config.bounds(),
         names,
         standing.clone(),
         alarm.clone(),
@@ -58,10 +58,10 @@
         counters.clone(),
     ));
     let ledger = Arc::new(Ledger::new(config.ledger, owner.clone(), counters.clone()));
-    let orders = Arc::new(Outbox::default());
+    let orders = Arc::new(Orders::new(config.kernel));
     let (states, reports) = channel();
 
-    listen_to_signals(owner.clone(), counters.clone())
+    listen_to_signals(owner.clone(), counters.clone(), read)
         .map_err(|fault| format!("signals can't be listened to: {fault}"))?;
     let (ended, end) = mpsc::channel();
     let part = |name: &'static str, ended: mpsc::Sender<bool>| {
@@ -76,15 +76,15 @@
         let entrance = entrance.clone();
         spawn(STACK_WORDS, move || entrance.accept(listener), part("accept", ended.clone()))
             .map_err(started)?;
-        let (at, counters, orders, owner) = (config.kernel, counters.clone(), orders.clone(), owner.clone());
+        let (counters, orders, owner) = (counters.clone(), orders.clone(), owner.clone());
         let alarm = alarm.clone();
-        let link = move || kernel::hold(at, &orders, &owner, &alarm, &counters);
+        let link = move || kernel::hold(&orders, &owner, &alarm, &counters);
         spawn(STACK_WORDS, link, part("kernel", ended.clone())).map_err(started)?;
     }
     {
         let (name, at, counters) = (config.name.clone(), config.control, counters.clone());
         let (again, alarm) = (states.clone(), alarm.clone());
-        // The first second starts now.
+        // The time to the next report starts now.
         let _ = again.send(State::Again);
         let report = move || control::report(&name, at, &reports, &again, &alarm, &counters);
         spawn(STACK_WORDS, report, part("control", ended.clone())).map_err(started)?;
@@ -132,14 +132,30 @@
     let _ = writeln!(std::io::stdout(), "{}", counters.line());
 }
 
-/// SIGTERM is the notice to leave, SIGUSR1 asks for the counters.
-fn listen_to_signals(owner: Sender<Heard>, counters: Arc<Counters>) -> std::io::Result<()> {
-    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGUSR1])?;
+/// SIGTERM is the notice to leave, SIGHUP asks for the configuration to be read anew, SIGUSR1 for the counters.
+fn listen_to_signals(
+    owner: Sender<Heard>,
+    counters: Arc<Counters>,
+    read: impl Fn() -> Result<Config, String> + Send + 'static,
+) -> std::io::Result<()> {
+    let mut signals = signal_hook::iterator::Signals::new([SIGHUP, SIGTERM, SIGUSR1])?;
     thread::spawn(move || {
         for signal in signals.forever() {
-            if signal == SIGUSR1 {
-                print(&counters);
-            } else if owner.send(Heard::Leave).is_err() {
+            let heard = match signal {
+                SIGTERM => Heard::Leave,
+                SIGHUP => match read() {
+                    Ok(config) => Heard::Configured(Box::new(config)),
+                    Err(fault) => {
+                        error!(fault, "the new configuration can't be used; the old one stays in force");
+                        continue;
+                    }
+                },
+                _ => {
+                    print(&counters);
+                    continue;
+                }
+            };
+            if owner.send(heard).is_err() {
                 return;
             }
         }
--- a/crates/lynxtally-node/src/wire.rs
+++ b/crates/lynxtally-node/src/wire.rs
@@ -78,6 +78,13 @@
         true
     }
 
+    /// Wakes the connection without a message.
+    pub fn wake(&self) {
+        if let Some(waker) = &lock(&self.state).waker {
+            waker.wakeup();
+        }
+    }
+
     /// The oldest message.
     pub fn take(&self) -> Option<T> {
         lock(&self.state).waiting.pop_front()
@@ -205,22 +212,8 @@
         !matches!(self.stream.inner().take_error(), Ok(None))
     }
 
-    /// Ends the writing side and reads on until the other side closes too, or for so long: a socket closed
-    /// with unread bytes would reset the connection and lose the last answer.
-    pub fn linger(mut self, at_most: Duration) {
-        if self.stream.inner().shutdown(Shutdown::Write).is_err() {
-            return;
-        }
-        let until = std::time::Instant::now() + at_most;
-        let mut chunk = [0; 64];
-        loop {
-            let left = until.saturating_duration_since(std::time::Instant::now());
-            if left.is_zero() || self.stream.set_read_timeout(Some(left)).is_err() {
-                return;
-            }
-            if !matches!(self.stream.read(&mut chunk), Ok(n) if n > 0) {
-                return;
-            }
-        }
+    /// Ends the writing side; false where the connection is gone altogether.
+    pub fn shutdown(&self) -> bool {
+        self.stream.inner().shutdown(Shutdown::Write).is_ok()
     }
 }
--- a/crates/lynxtally-node/tests/codecs.rs
+++ b/crates/lynxtally-node/tests/codecs.rs
@@ -17,8 +17,11 @@
 const TASK: &str = "POST /ops/a HTTP/1.1\r\nX-Correlation-Id: 9b1f03aa5c7e2d41\r\nx-arrived-ms: 1764576000123\r\n\
     X-Upstream-Peer: 4\r\nX-Org: acme\r\nX-Need-Kb: 24.5\r\nX-Criticality: 0.6250\r\nContent-Length: 4\r\n\r\nb\r\n\0";
 
+/// Shortly after the task arrived.
+const NOW: u64 = 1_764_576_000_200;
+
 fn names() -> Names {
-    Names { stages: vec!["b".into(), "a".into()], customers: vec!["acme".into()] }
+    Names { stages: vec!["b".into(), "a".into()], customers: vec!["acme".into()], longest_ms: 2000 }
 }
 
 fn sent() -> Sent {
@@ -37,16 +40,16 @@
 }
 
 fn asked(text: &str) -> Result<Option<Message<Asked>>, Bad> {
-    Reader { buffer: text.as_bytes().to_vec() }.next_asked(&names())
+    Reader { buffer: text.as_bytes().to_vec() }.next_asked(&names(), NOW)
 }
 
 #[test]
 fn a_task_split_at_any_point_is_the_same_task() {
     for at in 0..TASK.len() {
         let mut reader = Reader { buffer: TASK.as_bytes()[..at].to_vec() };
-        assert_eq!(reader.next_asked(&names()), Ok(None), "cut at {at}");
+        assert_eq!(reader.next_asked(&names(), NOW), Ok(None), "cut at {at}");
         reader.buffer.extend_from_slice(&TASK.as_bytes()[at..]);
-        let message = reader.next_asked(&names()).expect("readable").expect("whole");
+        let message = reader.next_asked(&names(), NOW).expect("readable").expect("whole");
         assert_eq!(message, Message { what: Asked::Task(Box::new(sent())), last: false });
         assert!(reader.buffer.is_empty());
     }
@@ -56,7 +59,7 @@
 fn several_messages_in_one_read_come_one_after_another() {
     let text = format!("{TASK}GET /alive HTTP/1.1\r\nConnection: close\r\n\r\n{TASK}");
     let mut reader = Reader { buffer: text.into_bytes() };
-    let mut next = || reader.next_asked(&names()).expect("readable");
+    let mut next = || reader.next_asked(&names(), NOW).expect("readable");
     assert!(matches!(next(), Some(Message { what: Asked::Task(_), last: false })));
     assert_eq!(next(), Some(Message { what: Asked::Health, last: true }));
     assert!(matches!(next(), Some(Message { what: Asked::Task(_), .. })));
@@ -74,7 +77,16 @@
     assert_eq!(with("X-Org: acme", "X-Org: other"), 400);
     assert_eq!(with("X-Org: acme", "X-Need-Kb: 24.5"), 400);
     assert_eq!(with("0.6250", "1"), 400);
-    assert_eq!(with("24.5", "NaN"), 400);
+    for kb in ["NaN", "inf", "-1", "+24.5", "1e9", "0", "2000", "99999999", ""] {
+        assert_eq!(with("24.5", kb), 400, "{kb}");
+    }
+    // A time of another age would teach the module that tasks lay unread for so long.
+    for arrived in ["0", "1764575990000", "1764576010000", "99999999999999999999", "-5", "+1764576000123"] {
+        assert_eq!(with("1764576000123", arrived), 400, "{arrived}");
+    }
+    assert_eq!(with("Peer: 4", "Peer: +4"), 400);
+    assert_eq!(with("X-Org: acme\r\n", ""), 400, "no customer where the settings name some");
+    assert_eq!(with("X-Org: acme", &format!("X-Org: acme\r\nX-Subject: {}", "s".repeat(99))), 400);
     assert_eq!(with("x-arrived-ms", "x-arrived"), 400);
     assert_eq!(with("/ops/a", "/ops/c"), 400);
     assert_eq!(with("/ops/a", "/a"), 404);
@@ -100,6 +112,13 @@
     assert_eq!(outcome(&head("503 No")), Ok(Some(CallOutcome::MayHaveRun)));
     assert_eq!(outcome(&head("504 Late")), Ok(Some(CallOutcome::MayHaveRun)));
     assert_eq!(outcome(&head("200 OK")[..30]), Ok(None), "a part of a reply is none yet");
+    let announced = format!(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nX-Untouched: 1\r\n\r\n{}",
+        head("200 OK")
+    );
+    assert_eq!(outcome(&announced), Ok(Some(CallOutcome::Ok)), "1xx only announces a reply");
+    assert_eq!(outcome(&announced[..60]), Ok(None));
+    assert_eq!(outcome("HTTP/1.1 101 Switching\r\n\r\n"), Err(CallOutcome::MayHaveRun));
     assert_eq!(outcome("HTTP/1.1 200 OK\r\n\r\n"), Err(CallOutcome::MayHaveRun), "without a length");
     assert_eq!(outcome(&head("200 OK").replace("2\r", "99999999\r")), Err(CallOutcome::MayHaveRun));
     for end in End::ALL {
@@ -111,38 +130,50 @@
 #[test]
 fn notices_split_at_any_point_are_the_same_notices() {
     let text =
-        b"BOOTED COLD 1500.25\r\nIOREQ 1 9b 4\r\nb\r\n\0\r\nREAP 2 9b OK 3.5 2\r\n\r\n\r\nINFO t 0.5 1\r\n\
-        EINVAL SCHED 9b\r\nDMESG 3 all is well\r\nREAP 4 9c STOPPED 1 0\r\n\r\n";
+        b"BOOTED COLD 1500.25\r\nIOREQ 1 9b 4\r\nb\r\n\0\r\nREAP 2 9b OK 3.5 2\r\n\r\n\r\nINFO t 0.5 1\r\nINFO sync-7 0 0\r\n\
+        EINVAL SCHED 9b\r\nDMESG 3  all \xff is \t well\r\nREAP 4 9c STOPPED 1 0\r\n\r\n";
     let expected = [
         (None, Notice::Booted { cold: true, ms: 1500.25 }),
         (Some(1), Notice::AtCall { id: "9b".into(), body: b"b\r\n\0".to_vec() }),
         (Some(2), Notice::Ended { id: "9b".into(), how: Reaped::Ok, result: b"\r\n".to_vec() }),
-        (None, Notice::Gauges { tag: "t".into(), values: vec![0.5, 1.0] }),
+        (None, Notice::Gauges(vec![0.5, 1.0])),
+        (None, Notice::Synced(7)),
         (None, Notice::Refused { command: "SCHED".into(), id: "9b".into() }),
-        (Some(3), Notice::Remark("all is well".into())),
+        (Some(3), Notice::Remark("3 all \u{fffd} is well".into())),
         (Some(4), Notice::Ended { id: "9c".into(), how: Reaped::Stopped, result: vec![] }),
     ];
     for at in 0..text.len() {
         let (mut reader, mut read) = (kernel::Reader::default(), Vec::new());
         for part in [&text[..at], &text[at..]] {
-            reader.buffer.extend_from_slice(part);
+            reader.room().extend_from_slice(part);
             while let Some(notice) = reader.next_notice().expect("readable") {
                 read.push(notice);
             }
         }
         assert_eq!(read, expected, "cut at {at}");
+        assert!(reader.is_empty());
     }
 }
 
 #[test]
 fn an_unreadable_notice_ends_the_link() {
     let long = "x".repeat(2000);
-    for text in
-        ["HELLO\r\n", "REAP 1 9b OK 3 x\r\n", "REAP 1 9b WELL 3 0\r\n\r\n", "IOREQ 1 9b 1\r\nabc", &long]
-    {
-        let mut reader = kernel::Reader { buffer: text.as_bytes().to_vec() };
+    for text in [
+        "HELLO\r\n",
+        "REAP 1 9b OK 3 x\r\n",
+        "REAP 1 9b WELL 3 0\r\n\r\n",
+        "IOREQ 1 9b 1\r\nabc",
+        "INFO t NaN\r\n",
+        &long,
+    ] {
+        let mut reader = kernel::Reader::default();
+        reader.room().extend_from_slice(text.as_bytes());
         assert_eq!(reader.next_notice(), Err(End::Garbled), "{text:?}");
     }
+    // A remark of any length means nothing.
+    let mut reader = kernel::Reader::default();
+    reader.room().extend_from_slice(format!("DMESG 8 {}{long}\r\n", &long[..1500]).as_bytes());
+    assert!(matches!(reader.next_notice(), Ok(Some((Some(8), Notice::Remark(_))))));
 }
 
 #[test]
@@ -152,8 +183,11 @@
     Command::Stop("9b".into()).write(&mut out);
     Command::Resume("9b".into()).write(&mut out);
     Command::Reply { id: "9b".into(), body: vec![] }.write(&mut out);
-    Command::Gauges("g").write(&mut out);
-    let expected = b"SCHED 9b a 3\r\n\r\n\0\r\nPREEMPT 9b\r\nRESCHED 9b\r\nIODONE 9b 0\r\n\r\nSYSINFO g\r\n";
+    Command::Gauges.write(&mut out);
+    Command::Sync(3).write(&mut out);
+    Command::Open(12).write(&mut out);
+    let expected = b"SCHED 9b a 3\r\n\r\n\0\r\nPREEMPT 9b\r\nRESCHED 9b\r\nIODONE 9b 0\r\n\r\n\
+        SYSINFO gauges\r\nSYSINFO sync-3\r\nOPEN 12\r\n";
     assert_eq!(out, expected);
 }
 
--- a/crates/lynxtally-node/tests/stories.rs
+++ b/crates/lynxtally-node/tests/stories.rs
@@ -5,22 +5,24 @@
 mod host;
 use host::world::{id, staged, task, until, Caller, Mood, World};
 use lynxtally::{CallOutcome, Span};
-use lynxtally_node::accept::{self, Entrance};
+use lynxtally_node::accept::{self, Entrance, Taken};
 use lynxtally_node::alarm::Alarm;
 use lynxtally_node::answer::{Answer, Standing};
-use lynxtally_node::control::{Reporter, State};
+use lynxtally_node::clock::Clock;
+use lynxtally_node::config::Bounds;
+use lynxtally_node::control::Reporter;
 use lynxtally_node::counters::Counters;
 use lynxtally_node::decide::{Heard, Parts};
 use lynxtally_node::end::End;
-use lynxtally_node::http::Names;
-use lynxtally_node::kernel::Notice;
+use lynxtally_node::http::{Names, Sent};
+use lynxtally_node::kernel::{Notice, Orders, Reaped};
 use lynxtally_node::ledger::{Call, Ended, Ledger};
 use lynxtally_node::{config, node};
 use may::sync::mpsc::{channel, Sender};
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::process::Command;
-use std::sync::Arc;
+use std::sync::{mpsc, Arc};
 use std::time::Duration;
 
 const NODE: &str = env!("CARGO_BIN_EXE_lynxtally-node");
@@ -133,6 +135,113 @@
     leave(world);
 }
 
+#[test]
+fn a_new_configuration_moves_everything_and_loses_nothing() {
+    let world = World::start(NODE);
+    let mut callers: Vec<Caller> = (0..3).map(|_| world.caller()).collect();
+    world.ledger.mood(Mood::Waits);
+    callers[0].send(&task(1, "wait"));
+    callers[1].send(&task(2, "call:body"));
+    until("both are under way", || world.kernel.heard("SCHED") == 2 && world.ledger.calls() == 1);
+    // What can't be used changes nothing: neither the link nor the addresses.
+    world.configure(&world.told.replace("\"kernel\"", "\"colonel\""));
+    world.configure("{");
+    let control = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let old: serde_json::Value = serde_json::from_str(&world.told).expect("JSON");
+    let mut new = old.clone();
+    for (key, at) in [("kernel", world.kernel.listen()), ("ledger", world.ledger.listen())] {
+        new[key] = at.to_string().into();
+    }
+    new["control"] = control.local_addr().expect("an address").to_string().into();
+    new["limits"]["sockets"] = 100.into();
+    world.configure(&new.to_string());
+    until("the kernel is linked anew", || world.kernel.heard("OPEN") == 2);
+    world.kernel.end(&id(1), "kept");
+    world.ledger.mood(Mood::Well);
+    assert_eq!(callers[0].answer(), (200, "kept".into()));
+    assert_eq!(callers[1].answer(), (200, "body".into()), "its call ended where it had begun");
+    callers[2].send(&task(3, "call:new"));
+    assert_eq!(callers[2].answer(), (200, "new".into()));
+    let mut buffer = [0; 64];
+    let (n, _) = control.recv_from(&mut buffer).expect("a report");
+    assert_eq!(&buffer[..n], b"lease n1 Ready");
+    // And back, and again while it leaves.
+    world.configure(&world.told);
+    until("the kernel is linked again", || world.kernel.heard("OPEN") == 3);
+    callers[2].send(&task(4, "wait"));
+    until("it runs", || world.kernel.heard("SCHED") == 4);
+    world.signal("TERM");
+    world.configure(&new.to_string());
+    until("and once more", || world.kernel.heard("OPEN") == 4);
+    world.kernel.end(&id(4), "late");
+    assert_eq!(callers[2].answer(), (200, "late".into()));
+    assert_eq!(count(&leave(world), "kernel_ends/moved"), 3);
+}
+
+#[test]
+fn silent_clients_shut_no_sidecar_out_and_are_closed() {
+    let world = World::start(NODE);
+    // More than the table holds, and in halves of messages too.
+    let mut silent: Vec<Caller> = (0..120).map(|_| world.caller()).collect();
+    silent.iter_mut().step_by(2).for_each(|caller| caller.send("POST /ops/a HT"));
+    let mut sidecar = world.caller();
+    sidecar.send(&task(1, "ok:well"));
+    assert_eq!(sidecar.answer(), (200, "well".into()));
+    for caller in &mut silent {
+        assert!(caller.message().is_none(), "it is closed");
+    }
+    sidecar.send(&task(2, "ok:still"));
+    assert_eq!(sidecar.answer(), (200, "still".into()), "it was not what went");
+    let line = leave(world);
+    assert!(
+        count(&line, "connection_ends/expired") + count(&line, "connection_ends/crowded") >= 120,
+        "{line}"
+    );
+}
+
+#[test]
+fn connections_kept_for_good_shut_no_sidecar_out() {
+    let world = World::start(NODE);
+    let mut kept: Vec<Caller> = Vec::new();
+    for n in 0..100 {
+        let mut caller = world.caller();
+        caller.send("GET /alive HTTP/1.1\r\n\r\n");
+        assert_eq!(caller.answer().0, 200, "connection {n} is served while the others stay");
+        kept.push(caller);
+    }
+    assert!(count(&leave(world), "connection_ends/crowded") > 40);
+}
+
+#[test]
+fn a_body_without_end_gets_its_answer_and_then_a_close() {
+    let world = World::start(NODE);
+    let mut caller = world.caller();
+    caller.send("POST /ops/a HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n");
+    assert_eq!(caller.answer().0, 413);
+    // More than all that is read on: it ends here or there, but it ends.
+    let chunk = [b'x'; 0x10000];
+    let stream = caller.stream();
+    assert!((0..4000).any(|_| stream.write_all(&chunk).is_err()), "it is not read for ever");
+    assert_eq!(count(&leave(world), "bad_size"), 1);
+}
+
+#[test]
+fn a_stop_that_crossed_a_notice_is_said_again_on_the_next_link() {
+    let world = World::start(NODE);
+    let mut caller = world.caller();
+    // The hasty stage gives its run up; the kernel, silent, tells of a call that it came to before.
+    caller.send(&staged("b", 1, "wait"));
+    until("it runs", || world.kernel.heard("SCHED") == 1);
+    world.kernel.hush(true);
+    assert_eq!(caller.answer().0, 500);
+    until("it is stopped", || world.kernel.heard("PREEMPT") == 1);
+    world.kernel.hush(false);
+    world.kernel.send(format!("IOREQ 1 {} 0\r\n\r\n", id(1)).as_bytes());
+    world.kernel.drop_link();
+    until("it is said again", || world.kernel.heard("PREEMPT") == 2);
+    leave(world);
+}
+
 #[test]
 fn a_run_that_the_kernel_does_not_take_hangs_no_task() {
     let world = World::start(NODE);
@@ -247,10 +356,26 @@
     );
 }
 
+fn names() -> Names {
+    Names { stages: vec!["a".into()], customers: vec![], longest_ms: 60_000 }
+}
+
+/// Bounds for so many connections, with time enough for any machine.
+fn bounds(connections: usize) -> Bounds {
+    let at = ([127, 0, 0, 1], 9).into();
+    let config = config::read(&host::world::config([at; 4]), |_| None).expect("fit");
+    Bounds { connections, message: Duration::from_secs(60), ..config.bounds() }
+}
+
 /// An entrance with a listener, as a node has it.
-fn entrance(names: Names, standing: Arc<Standing>, owner: Sender<Heard>) -> (Arc<Entrance>, SocketAddr) {
+fn entrance(
+    names: Names,
+    standing: Arc<Standing>,
+    owner: Sender<Heard>,
+    bounds: Bounds,
+) -> (Arc<Entrance>, SocketAddr) {
     let alarm = Alarm::start().expect("a thread");
-    let entrance = Arc::new(Entrance::new(9, names, standing, alarm, owner, Arc::default()));
+    let entrance = Arc::new(Entrance::new(bounds, names, standing, alarm, owner, Arc::default()));
     let listener = accept::listen(([127, 0, 0, 1], 0).into()).expect("a port");
     let at = listener.local_addr().expect("an address");
     let accepting = entrance.clone();
@@ -262,8 +387,7 @@
 #[test]
 fn a_task_that_is_there_is_not_lost_to_the_closing_of_idle_connections() {
     let (owner, heard) = channel();
-    let names = Names { stages: vec!["a".into()], customers: vec![] };
-    let (entrance, at) = entrance(names, Arc::default(), owner);
+    let (entrance, at) = entrance(names(), Arc::default(), owner, bounds(9));
     for n in 1..200 {
         let mut stream = TcpStream::connect(at).expect("it listens");
         until("it is taken", || entrance.len() == 1);
@@ -322,34 +446,65 @@
     assert!(!well && said.contains("`listen`") && said.lines().count() == 1, "{said}");
 }
 
-#[test]
-fn an_owner_that_fails_answers_what_is_open_and_says_so() {
+/// An owner among its parts, as a node has it; the receiver hears how it ended.
+fn owner(names: Names) -> (Sender<Heard>, SocketAddr, Arc<Standing>, mpsc::Receiver<bool>) {
     let at = ([127, 0, 0, 1], 9).into();
     let config = config::read(&host::world::config([at; 4]), |_| None).expect("fit");
-    let ((owner, heard), (states, reports)) = (channel(), channel());
+    let ((owner, heard), (states, _)) = (channel(), channel());
     let (counters, standing) = (Arc::new(Counters::new(&[])), Arc::new(Standing::default()));
-    // A defect of our own: a stage that the owner doesn't have.
-    let names = Names { stages: ["a", "b", "c"].map(str::to_owned).to_vec(), customers: vec![] };
-    let (entrance, node) = entrance(names, standing.clone(), owner.clone());
+    let (entrance, node) = entrance(names, standing.clone(), owner.clone(), bounds(9));
     let parts = Parts {
         alarm: Alarm::start().expect("a thread"),
         owner: owner.clone(),
         reporter: Reporter::new(states),
-        kernel: Arc::default(),
+        kernel: Arc::new(Orders::new(at)),
         ledger: Arc::new(Ledger::new(at, owner.clone(), counters.clone())),
         entrance,
         standing: standing.clone(),
         counters,
     };
-    assert!(owner.send(Heard::Kernel(Notice::Booted { cold: false, ms: 0.0 })).is_ok());
-    let (ended, end) = std::sync::mpsc::channel();
+    let (ended, end) = mpsc::channel();
     std::thread::spawn(move || node::own(config, parts, &heard, &ended));
+    assert!(owner.send(Heard::Kernel(Notice::Booted { cold: false, ms: 0.0 })).is_ok());
+    until("it is well", || standing.healthy());
+    (owner, node, standing, end)
+}
+
+#[test]
+fn an_owner_that_fails_answers_what_is_open_and_says_so() {
+    // A defect of our own: a stage that the owner doesn't have.
+    let names = Names { stages: ["a", "b", "c"].map(str::to_owned).to_vec(), ..names() };
+    let (_, node, standing, end) = owner(names);
     let [mut open, mut defect] = [Caller::to(node), Caller::to(node)];
     open.send(&task(1, "wait"));
-    until("it is well", || standing.healthy());
     defect.send(&staged("c", 2, ""));
     assert_eq!([open.answer().0, defect.answer().0], [500, 500]);
     assert_eq!(end.recv_timeout(Duration::from_secs(20)), Ok(false));
     assert!(standing.leaving() && !standing.healthy());
-    assert!(matches!(reports.try_iter().last(), Some(State::Is(false))));
+}
+
+#[test]
+fn one_that_takes_the_name_of_an_open_task_takes_nothing_else() {
+    let (owner, ..) = owner(names());
+    let [real, other] = [(); 2].map(|()| accept::Handle::default());
+    let arrived_ms = Clock::default().micros() / 1000;
+    for from in [&real, &other] {
+        let sent = Sent { id: id(1), arrived_ms, kb: 1.0, ..Sent::default() };
+        assert!(owner.send(Heard::Taken(Taken { sent, from: from.clone() })).is_ok());
+    }
+    // The other's connection breaks off: its caller is gone, the real one isn't.
+    assert!(owner.send(Heard::CallerGone { id: id(1), from: other.clone(), end: End::Reset }).is_ok());
+    let ended = Notice::Ended { id: id(1), how: Reaped::Ok, result: b"mine".to_vec() };
+    assert!(owner.send(Heard::Kernel(ended)).is_ok());
+    let answer = |handle: &accept::Handle| {
+        let mut order = None;
+        until("it is answered", || {
+            order = handle.take();
+            order.is_some()
+        });
+        let Some(accept::Order::Answer(answer)) = order else { panic!("something else is told") };
+        answer
+    };
+    assert!(matches!(answer(&other), Answer::Rejected { .. }));
+    assert_eq!(answer(&real), Answer::Finished(b"mine".to_vec()));
 }
--- a/crates/lynxtally-settings/src/lib.rs
+++ b/crates/lynxtally-settings/src/lib.rs
@@ -67,7 +67,7 @@
 impl std::error::Error for Fault {}
 
 /// The settings in the project's words, and the names behind its indices.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Declared {
     /// What the module is given.
     pub settings: Settings,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -19,7 +19,7 @@
 }
 
 /// What the host tells of a stage.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct StageSettings {
     /// What an answer by the due time earns.
     pub utility: f64,
@@ -71,7 +71,7 @@
 }
 
 /// All that a backend is told when it starts.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The cores, all alike, of unknown speed.
     pub cores: u32,
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -237,11 +237,11 @@
     }
 
     impl Kernel {
-        fn start() -> (Self, SocketAddr) {
+        /// Listens on one more address, for the same runs and notices.
+        pub fn listen(&self) -> SocketAddr {
             let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
             let at = listener.local_addr().expect("an address");
-            let kernel = Self(Arc::default());
-            let inside = kernel.0.clone();
+            let inside = self.0.clone();
             thread::spawn(move || {
                 for link in listener.incoming().map_while(Result::ok) {
                     let mut reader = BufReader::new(link.try_clone().expect("a clone"));
@@ -266,7 +266,7 @@
                     });
                 }
             });
-            (kernel, at)
+            at
         }
 
         /// Ends a run well.
@@ -320,11 +320,11 @@
     pub struct Ledger(Arc<Mutex<(Mood, u32)>>);
 
     impl Ledger {
-        fn start() -> (Self, SocketAddr) {
+        /// Listens on one more address, in the same mood.
+        pub fn listen(&self) -> SocketAddr {
             let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
             let at = listener.local_addr().expect("an address");
-            let ledger = Self(Arc::new(Mutex::new((Mood::Well, 0))));
-            let state = ledger.0.clone();
+            let state = self.0.clone();
             thread::spawn(move || {
                 for stream in listener.incoming().map_while(Result::ok) {
                     let state = state.clone();
@@ -350,7 +350,7 @@
                     });
                 }
             });
-            (ledger, at)
+            at
         }
 
         /// Changes its mood.
@@ -384,6 +384,11 @@
             self.0.get_mut().write_all(text.as_bytes()).expect("it is read");
         }
 
+        /// The connection itself.
+        pub fn stream(&mut self) -> &mut TcpStream {
+            self.0.get_mut()
+        }
+
         /// Whether anything came that was not read yet.
         pub fn unread(&self) -> bool {
             self.0.get_ref().peek(&mut [0]).is_ok_and(|n| n > 0)
@@ -447,6 +452,8 @@
         pub ledger: Ledger,
         pub control: UdpSocket,
         folder: PathBuf,
+        /// The configuration as it was at the start.
+        pub told: String,
     }
 
     /// The configuration of a node with a stage `a` that has time and a hasty one `b`.
@@ -475,7 +482,8 @@
             let number = NEXT.fetch_add(1, Ordering::Relaxed);
             let folder = std::env::temp_dir().join(format!("lynxtally-{}-{number}", std::process::id()));
             std::fs::create_dir_all(&folder).expect("a folder");
-            let ((kernel, kernel_at), (ledger, ledger_at)) = (Kernel::start(), Ledger::start());
+            let kernel = Kernel(Arc::default());
+            let ledger = Ledger(Arc::new(Mutex::new((Mood::Well, 0))));
             let control = UdpSocket::bind("127.0.0.1:0").expect("a port");
             control.set_read_timeout(Some(LONG)).expect("a time-out");
             // An address on loopback that is this world's alone, so that no port can be taken by another's
@@ -484,8 +492,9 @@
             let [high, low] = [process / 250 % 250, process % 250].map(|part| part as u8);
             let free: SocketAddr = ([127, 10 + number as u8, high, low + 1], 8443).into();
             let path = folder.join("config.json");
-            let ports = [free, kernel_at, ledger_at, control.local_addr().expect("an address")];
-            std::fs::write(&path, config(ports)).expect("a file");
+            let told =
+                config([free, kernel.listen(), ledger.listen(), control.local_addr().expect("an address")]);
+            std::fs::write(&path, &told).expect("a file");
             let start = format!("ulimit -n {descriptors}; exec \"$0\" \"$1\"");
             let node = Command::new("sh")
                 .args(["-c", &start, program])
@@ -494,7 +503,7 @@
                 .stderr(Stdio::piped())
                 .spawn()
                 .expect("the node starts");
-            let world = Self { node: Some(node), listen: free, kernel, ledger, control, folder };
+            let world = Self { node: Some(node), listen: free, kernel, ledger, control, folder, told };
             until("the node is well", || {
                 TcpStream::connect(free).is_ok_and(|stream| {
                     let mut caller = Caller::of(stream);
@@ -517,6 +526,12 @@
             assert!(sent.success());
         }
 
+        /// Replaces the configuration and has it read.
+        pub fn configure(&self, text: &str) {
+            std::fs::write(self.folder.join("config.json"), text).expect("a file");
+            self.signal("HUP");
+        }
+
         /// Waits for the node's end; tells whether it ended well, and its counters.
         pub fn end(&mut self) -> (bool, String) {
             let node = self.node.take().expect("it runs");
