--- a/crates/lynxtally-node/src/accept.rs
+++ b/crates/lynxtally-node/src/accept.rs
@@ -397,7 +397,7 @@
                 if !line.clear() {
                     return End::Reset;
                 }
-                if last.is_none() && !(end == End::Idle && !reader.buffer.is_empty()) {
+                if last.is_none() && (end != End::Idle || reader.buffer.is_empty()) {
                     last = Some(end);
                 }
             }
