--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,6 +39,8 @@
 const CALL_SLOW: f64 = 4.0;
 /// Tries of one call at most that may have run; a rejected one costs far less than the run it would waste.
 const CALL_TRIES: u32 = 3;
+/// A call that can be made again is given up after so many times the usual time, twice as many at each try.
+const CALL_PATIENCE: f64 = 8.0;
 /// What a customer sends is averaged over so many mean due times.
 const SENT_OVER: f64 = 5.0;
 /// The free value lets in so many times what keeps cores and calls busy; none to stay for this share of due.
@@ -150,10 +152,13 @@
     /// Since when the set has been full, and whether the gauge shows idle room all the same.
     full_since: Option<Instant>,
     idle: bool,
-    /// Bound of the calls in hand, its last cut, and the usual time of a call in seconds.
+    /// Bound of the calls in hand, its last cut, from when calls may go, and the usual time of a call in seconds.
     window: f64,
     window_cut: Instant,
+    calls_from: Instant,
     call_time: f64,
+    /// Calls that were given up here and are still in hand below.
+    lingering: f64,
     held_cost: f64,
     unread: f64,
     /// Leaving: what arrives after the first point is not run; the kill comes at the second.
@@ -204,7 +209,9 @@
             idle: false,
             window: f64::from(set.cores),
             window_cut: now,
+            calls_from: now,
             call_time: 0.0,
+            lingering: 0.0,
             held_cost: 0.0,
             unread: 0.0,
             kill: None,
@@ -257,9 +264,10 @@
         let past = (now - self.now).secs();
         self.now = self.now.max(now);
         self.clock += past * (self.cores / self.load.on_cores.max(1.0)).min(1.0);
-        if let Below::Shared { over, .. } = self.set.below {
-            let keep = (-past / over.secs().max(1e-3)).exp();
-            self.calls_mean = self.calls_mean * keep + self.load.calling * (1.0 - keep);
+        if let Below::Shared { over, linger, .. } = self.set.below {
+            let keep = |span: Span| (-past / span.secs().max(1e-3)).exp();
+            self.calls_mean += (self.load.calling + self.lingering - self.calls_mean) * (1.0 - keep(over));
+            self.lingering *= keep(linger);
         }
         let keep = (-past / (self.mean_due * SENT_OVER)).exp();
         self.sent.iter_mut().for_each(|rate| *rate *= keep);
@@ -366,6 +374,18 @@
         until - self.now
     }
 
+    /// How long a call is waited for. One whose reply never comes would hold its run, its connection and a place
+    /// in the window for all the time that is left. Catches lost, endless and stuck replies; harms where calls
+    /// suddenly take many times longer, until that is the usual time.
+    fn time_out(&self, id: TaskId) -> Span {
+        let (task, room) = (self.task(id).expect("at a call"), self.call_room(id));
+        if task.effect != Effect::Restartable || task.call_tries + 1 >= CALL_TRIES || self.call_time <= 0.0 {
+            return room;
+        }
+        let usual = self.call_time * CALL_PATIENCE * f64::from(1 << task.call_tries);
+        Span::from_secs(usual).max(self.period).min(room)
+    }
+
     fn arrived(&mut self, arrival: Arrival) {
         let part = arrival.customer.map_or(1.0, |customer| self.expected_part(customer));
         let stage = &self.set.stages[arrival.stage];
@@ -470,8 +490,9 @@
         let harmless = task.effect == Effect::Restartable || outcome == CallOutcome::NeverRan;
         let again = harmless && task.call_tries < CALL_TRIES;
         if outcome == CallOutcome::Ok {
+            task.call_tries = 0;
             self.window += 1.0 / self.window;
-            self.call_time += (took.secs() - self.call_time) * GAIN;
+            self.call_time += (took.secs() - self.call_time) * if self.call_time > 0.0 { GAIN } else { 1.0 };
             return self.moved(id, Place::OnCores);
         }
         // A time-out that the task's own haste made short says nothing of what lies below.
@@ -480,8 +501,12 @@
             self.window = (self.window * WINDOW_CUT).max(1.0);
             self.window_cut = now;
         }
-        if let (Below::Shared { over, linger, .. }, CallOutcome::MayHaveRun) = (self.set.below, outcome) {
-            self.calls_mean += linger / over;
+        if outcome == CallOutcome::MayHaveRun {
+            self.lingering += 1.0;
+            self.call_time += (took.secs() - self.call_time).max(0.0) * GAIN;
+        } else if self.window <= 1.0 {
+            // Nothing below takes calls: they are tried one a period, not as fast as they are rejected.
+            self.calls_from = now + self.period;
         }
         self.stand(id);
         if !owed {
@@ -494,8 +519,9 @@
     fn run_ended(&mut self, id: TaskId, outcome: RunOutcome) {
         let task = self.inside(id);
         let answered = outcome == RunOutcome::Answered;
-        let measured = task.place == Place::OnCores && answered;
+        let (measured, called) = (task.place == Place::OnCores && answered, task.place == Place::Calling);
         task.owed &= !answered;
+        self.lingering += f64::from(u8::from(called));
         self.moved(id, Place::Over);
         self.end(id, Action::Abandon(id));
         if measured {
@@ -663,8 +689,10 @@
             Below::Shared { calls, .. } => calls * CALLS_CEILING,
             _ => f64::INFINITY,
         };
-        while let Some(&(_, id)) = self.standing.first() {
-            if self.load.calling + 1.0 > self.window.min(share.max(1.0)) || self.calls_mean >= share {
+        while let Some(&(_, id)) = self.standing.first().filter(|_| self.now >= self.calls_from) {
+            // What was given up is still in hand below, and the rule counts it.
+            let full = self.load.calling + self.lingering >= share.max(1.0) || self.calls_mean >= share;
+            if full || self.load.calling + 1.0 > self.window.min(share.max(1.0)) {
                 break;
             }
             self.put(id, Place::Calling);
@@ -784,7 +812,7 @@
             (Place::Held, Place::OnCores) => actions.push(Action::Run(id)),
             (Place::Held, Place::Reusing) => actions.push(Action::Reuse(id)),
             (Place::Standing, Place::Calling) => {
-                actions.push(Action::Call { task: id, time_out: self.call_room(id) })
+                actions.push(Action::Call { task: id, time_out: self.time_out(id) })
             }
             (Place::Standing, Place::OnCores) => actions.push(Action::Skip(id)),
             (Place::OnCores, Place::Ending) => actions.push(Action::Stop(id)),
