--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,11 +1,10 @@
 //! All decisions of lynxtally. A host makes one `Policy` for a backend, tells it with `on` each thing that
-//! happens, and after the events of one moment calls `settle`, which adds what the host shall do.
-//! The interface (`Settings`, `Event`, `Action`) is in `interface.rs`, time in `time.rs`, chance in `pcg.rs`.
-//!
-//! The selection is SLICE's (docs/design.md): held tasks stand in the order of utility over demand, and the
-//! highest start until one no longer fits under the learned throughput. Decisions set where a task is wanted;
-//! `emit` works out the difference to what the host was told.
+//! happens, and after the events of one moment calls `settle`, which adds what the host shall do. Selection
+//! is SLICE's (docs/design.md): held tasks stand in the order of utility over demand, and the highest start
+//! until one no longer fits under the learned throughput. Decisions set where a task is wanted; `emit` works
+//! out the difference to what the host was told.
 
+use crate::load::Load;
 use crate::*;
 use std::collections::{BTreeSet, VecDeque};
 
@@ -35,12 +34,11 @@
 const GAUGE_SPAN: Span = Span::from_millis(500);
 /// Crowding below cuts the window of calls to this share.
 const WINDOW_CUT: f64 = 0.7;
-/// A call that failed after this many times the usual time counts as crowding.
+/// A call that failed after this many times the usual time counts as crowding. One that can be made again is
+/// given up after twice as many, and twice as many again at each try.
 const CALL_SLOW: f64 = 4.0;
 /// Tries of one call at most that may have run; a rejected one costs far less than the run it would waste.
 const CALL_TRIES: u32 = 3;
-/// A call that can be made again is given up after so many times the usual time, twice as many at each try.
-const CALL_PATIENCE: f64 = 8.0;
 /// What a customer sends is averaged over so many mean due times.
 const SENT_OVER: f64 = 5.0;
 /// The free value lets in so many times what keeps cores and calls busy; none to stay for this share of due.
@@ -104,15 +102,6 @@
     key_told: bool,
 }
 
-#[derive(Clone, Copy, Default)]
-struct Load {
-    kb: f64,
-    demand: f64,
-    on_cores: f64,
-    out: f64,
-    calling: f64,
-}
-
 /// What is learned of a stage: core time and waits of a run, in seconds, and the basis of that cost.
 struct Row {
     cost: f64,
@@ -152,12 +141,12 @@
     /// Since when the set has been full, and whether the gauge shows idle room all the same.
     full_since: Option<Instant>,
     idle: bool,
-    /// Bound of the calls in hand, its last cut, from when calls may go, and the usual time of a call in seconds.
+    /// Bound of the calls in hand, its last cut, from when calls may go, and a call's usual time in seconds.
     window: f64,
     window_cut: Instant,
     calls_from: Instant,
     call_time: f64,
-    /// Calls that were given up here and are still in hand below.
+    /// Calls that were given up here and are still in hand below, where the rule counts them.
     lingering: f64,
     held_cost: f64,
     unread: f64,
@@ -293,18 +282,13 @@
         let before = self.weight(id);
         change(self.inside(id));
         let after = self.weight(id);
-        self.load.kb += after.kb - before.kb;
-        self.load.demand += after.demand - before.demand;
-        self.load.on_cores += after.on_cores - before.on_cores;
-        self.load.out += after.out - before.out;
-        self.load.calling += after.calling - before.calling;
+        self.load += after - before;
         self.load.demand *= f64::from(u8::from(self.load.on_cores > 0.0));
     }
 
     /// Sets where a task is wanted; `emit` tells the host.
     fn put(&mut self, id: TaskId, place: Place) {
-        let clock = self.clock;
-        let task = self.inside(id);
+        let (clock, task) = (self.clock, self.inside(id));
         if task.place == place {
             return;
         }
@@ -374,23 +358,19 @@
         until - self.now
     }
 
-    /// How long a call is waited for. One whose reply never comes would hold its run, its connection and a place
-    /// in the window for all the time that is left. Catches lost, endless and stuck replies; harms where calls
-    /// suddenly take many times longer, until that is the usual time.
+    /// How long a call is waited for. One never replied to would hold its run and a place in the window
+    /// for all the time left. Catches lost and endless replies; harms where calls suddenly take far longer.
     fn time_out(&self, id: TaskId) -> Span {
         let (task, room) = (self.task(id).expect("at a call"), self.call_room(id));
-        if task.effect != Effect::Restartable || task.call_tries + 1 >= CALL_TRIES || self.call_time <= 0.0 {
-            return room;
-        }
-        let usual = self.call_time * CALL_PATIENCE * f64::from(1 << task.call_tries);
-        Span::from_secs(usual).max(self.period).min(room)
+        let usual = Span::from_secs(self.call_time * CALL_SLOW * f64::from(2 << task.call_tries));
+        let again = task.effect == Effect::Restartable && task.call_tries + 1 < CALL_TRIES;
+        room.min(if again && usual > Span::ZERO { usual.max(self.period) } else { room })
     }
 
     fn arrived(&mut self, arrival: Arrival) {
         let part = arrival.customer.map_or(1.0, |customer| self.expected_part(customer));
         let stage = &self.set.stages[arrival.stage];
-        let early = self.period * ANSWER_EARLY;
-        let came = self.now - arrival.unread;
+        let (early, came) = (self.period * ANSWER_EARLY, self.now - arrival.unread);
         let mut limit = arrival.limit.unwrap_or(came + stage.limit) - early;
         limit = self.kill.map_or(limit, |(_, kill)| limit.min(kill - early));
         let basis = arrival.hint.map_or(1.0, |hint| hint.secs().max(1e-6));
@@ -453,9 +433,8 @@
         self.look_at(id, at);
     }
 
-    /// The part of its utility that a customer's task is expected to keep. What is beyond a share carries no
-    /// mark, and of hundreds of backends each sees few tasks of a customer: the likelihood of being within is
-    /// the quota here over what the customer sends here and is not rejected.
+    /// The part of its utility that a customer's task is expected to keep. Beyond a share it has no mark;
+    /// the chance of being within is the quota here over what the customer sends here and is not rejected.
     fn expected_part(&mut self, customer: usize) -> f64 {
         let quota = self.set.quotas[customer] / f64::from(self.set.backends.max(1));
         self.sent[customer] += 1.0 / (self.mean_due * SENT_OVER);
@@ -480,8 +459,7 @@
     }
 
     fn call_ended(&mut self, id: TaskId, outcome: CallOutcome) {
-        let now = self.now;
-        let task = self.inside(id);
+        let (now, task) = (self.now, self.inside(id));
         if task.place != Place::Calling {
             return;
         }
@@ -504,8 +482,8 @@
         if outcome == CallOutcome::MayHaveRun {
             self.lingering += 1.0;
             self.call_time += (took.secs() - self.call_time).max(0.0) * GAIN;
-        } else if self.window <= 1.0 {
-            // Nothing below takes calls: they are tried one a period, not as fast as they are rejected.
+        } else if self.window <= 1.0 && matches!(self.set.below, Below::Shared { .. }) {
+            // The one dependency takes no calls: they are tried one a period, not as fast as it rejects them.
             self.calls_from = now + self.period;
         }
         self.stand(id);
@@ -617,9 +595,8 @@
         self.look(id);
     }
 
-    /// The refusal point sees the line too: what stands behind a long one, or more than can be done in time,
-    /// is rejected now, while another backend may be in time, and its caller hears the free value. Should
-    /// catch slow cores and backlogs of any cause; harms where the expected cost is too high.
+    /// What stands behind a long line, or more than can be done in time, is rejected now, while another may
+    /// be in time. Catches slow cores and backlogs of any cause; harms where the expected cost is too high.
     fn judge_line(&mut self) {
         let (mut ahead, mut hopeless) = (0.0, Vec::new());
         for &(_, id) in &self.hold {
@@ -641,8 +618,7 @@
         }
     }
 
-    /// A held task can't meet its due time: it is rejected, or, where a late answer still earns a part, goes
-    /// on with a rate cut to that part until its time limit.
+    /// A held task can't be in time: rejected or, where late answers earn a part, kept at a rate cut to it.
     fn too_late(&mut self, id: TaskId, terminal: bool) {
         let task = self.task(id).expect("held");
         let part = self.set.stages[task.stage].late_part;
@@ -685,12 +661,9 @@
 
     /// Lets calls go, the highest rate first, as far as the window and the shared dependency allow.
     fn let_calls_go(&mut self) {
-        let share = match self.set.below {
-            Below::Shared { calls, .. } => calls * CALLS_CEILING,
-            _ => f64::INFINITY,
-        };
+        let share = if let Below::Shared { calls, .. } = self.set.below { calls } else { f64::INFINITY };
+        let share = share * CALLS_CEILING;
         while let Some(&(_, id)) = self.standing.first().filter(|_| self.now >= self.calls_from) {
-            // What was given up is still in hand below, and the rule counts it.
             let full = self.load.calling + self.lingering >= share.max(1.0) || self.calls_mean >= share;
             if full || self.load.calling + 1.0 > self.window.min(share.max(1.0)) {
                 break;
@@ -764,8 +737,7 @@
             FreeValue::Level => Some(((full - 1.0) / 2.0).clamp(0.0, 0.5)),
             FreeValue::Weight => Some((1.5 - full).clamp(0.1, 1.0)),
             FreeValue::Credit => {
-                // Told to each of as many as send alike. One at least: who sends nothing hears nothing,
-                // forgets what it was told, and all come back at once.
+                // For each of as many as send alike; one at least: who sends nothing forgets it was told.
                 Some(((room * self.same_caller * 4.0).round() / 4.0).max(1.0))
             }
         }
@@ -823,8 +795,7 @@
 
     /// Frees the index of a task that is over, unless its key is still kept.
     fn release(&mut self, id: TaskId, actions: &mut Vec<Action>) {
-        let now = self.now;
-        let task = self.inside(id);
+        let (now, task) = (self.now, self.inside(id));
         if let Some(until) = task.kept_until.filter(|until| task.ran && *until > now) {
             return self.look_at(id, until);
         }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -150,6 +150,69 @@
     assert_eq!(let_go, 1, "of a share of two, the ceiling leaves room for one whole call");
 }
 
+#[test]
+fn calls_given_up_count_as_in_hand_below_until_they_have_left() {
+    let below = Below::Shared { calls: 5.0, over: Span::from_millis(5000), linger: Span::from_millis(200) };
+    let mut host = Host::new(Settings { below, cores: 8, ..settings() });
+    let tasks: Vec<_> = (0..8).map(|_| host.plain(0, 0)).collect();
+    for &task in &tasks {
+        host.happen(10, [Event::AtCall(task)]);
+    }
+    let calls = |host: &Host| host.did.iter().filter(|a| matches!(a, Action::Call { .. })).count();
+    // The first four are out. Two are given up, one as its run ended and one as it took too long.
+    host.happen(20, [Event::RunEnded(tasks[0], RunOutcome::Cancelled)]);
+    assert_eq!(calls(&host), 0, "fast day: the dependency fell over by the calls that nobody waited for");
+    host.happen(20, [Event::CallEnded(tasks[1], CallOutcome::MayHaveRun)]);
+    assert_eq!(calls(&host), 0);
+    host.tick(700, 1.0);
+    assert_eq!(calls(&host), 2, "by now it has let go of both");
+}
+
+#[test]
+fn a_call_that_never_comes_back_is_given_up_after_a_usual_time() {
+    let mut host = Host::new(Settings { below: Below::Tier, ..settings() });
+    let time_out = |host: &mut Host, ms, task| {
+        host.happen(ms, [Event::AtCall(task)]);
+        host.did
+            .iter()
+            .find_map(|a| if let Action::Call { time_out, .. } = a { Some(*time_out) } else { None })
+    };
+    let first = host.plain(0, 0);
+    assert!(time_out(&mut host, 0, first) > Some(Span::from_millis(800)), "no time is usual yet");
+    host.happen(10, [Event::CallEnded(first, CallOutcome::Ok)]);
+    let second = host.plain(20, 0);
+    assert_eq!(time_out(&mut host, 20, second), Some(Span::from_millis(80)), "8 times the usual 10 ms");
+    host.happen(100, [Event::CallEnded(second, CallOutcome::MayHaveRun)]);
+    assert!(host.called(second), "it is tried again while its task is in time");
+    // One that must not be made twice is waited for as long as its task has.
+    let mut set = Settings { below: Below::Tier, ..settings() };
+    set.stages[1].effect = Effect::SideEffecting;
+    let mut host = Host::new(set);
+    let first = host.plain(0, 0);
+    host.happen(0, [Event::AtCall(first)]);
+    host.happen(10, [Event::CallEnded(first, CallOutcome::Ok)]);
+    let once = host.plain(20, 1);
+    assert!(time_out(&mut host, 20, once) > Some(Span::from_millis(800)));
+}
+
+#[test]
+fn a_dependency_that_rejects_all_is_not_asked_as_fast_as_it_rejects() {
+    let below = Below::Shared { calls: 9.0, over: Span::from_millis(5000), linger: Span::from_millis(200) };
+    let mut host = Host::new(Settings { below, ..settings() });
+    let task = host.plain(0, 0);
+    host.happen(0, [Event::AtCall(task)]);
+    let mut calls = 0;
+    for ms in 1..500 {
+        if host.called(task) {
+            calls += 1;
+            host.happen(ms, [Event::CallEnded(task, CallOutcome::NeverRan)]);
+        } else {
+            host.tick(ms, 1.0);
+        }
+    }
+    assert!((10..40).contains(&calls), "fast day: 6,700 calls a second to a ledger that was down: {calls}");
+}
+
 #[test]
 fn a_call_that_can_not_be_had_is_left_out_or_the_task_settled() {
     for skip_part in [0.5, 0.0] {
