Where one utility stands out, dear tasks do not narrow what is let in to choose from

Seen in a probe: cost 0.25 s a task on slowed cores, so room for 20 tasks on 12 cores and a credit of 2.25 for each of 8 callers, which rejected half by themselves without regard to utility. Ruled out: connections (the table held 384, the kernel's gauge 25 to 40), unread time (0.02 s), calls (window 30, mean 0.7). At fault: free(), whose room shrinks with the cost.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -46,6 +46,8 @@
 const FREE_STAY: f64 = 0.3;
 /// Where the top utility is this many times the mean, twice as much is let in to choose from.
 const STANDS_OUT: f64 = 2.0;
+/// There at least so many tasks a core are let in, however dear they are: a caller rejects without choice.
+const CHOICE: f64 = 4.0;
 /// A caller that is itself a backend has spent part of the due time: this share is left for each tier below.
 const TIER_SHARE: f64 = 1.0 / 3.0;
 /// Unread for this share of the mean due time, reading is fully behind; what one arrival moves that.
@@ -725,10 +727,11 @@
         let mean = |of: fn(&Row) -> f64| self.rows.iter().map(of).sum::<f64>() / self.rows.len() as f64;
         let (cost, waits) = (mean(|r| r.cost).max(1e-6), mean(|r| r.waits));
         let narrow = ((cost + waits) * HELD_MORE).min(self.mean_due * FREE_STAY);
-        let stay = if self.selective { self.mean_due * FREE_STAY * 2.0 } else { narrow };
+        let wide = (self.mean_due * FREE_STAY * 2.0, CHOICE);
+        let (stay, least) = if self.selective { wide } else { (narrow, 1.0) };
         // Reading costs work whatever is decided: tasks that lay unread say that too much is sent here.
         // Should catch every cause of that; harms after a mere pause, for as long as callers heed.
-        let room = (self.cores / cost * stay).max(self.cores) * (1.0 - self.behind());
+        let room = (self.cores / cost * stay).max(self.cores * least) * (1.0 - self.behind());
         let full = (self.load.out + self.hold.len() as f64) / room.max(1.0);
         match self.set.free_value {
             FreeValue::Silent => None,
