--- a/crates/lynxtally-node/src/decide.rs
+++ b/crates/lynxtally-node/src/decide.rs
@@ -287,7 +287,6 @@
                 self.tell(now, Event::Drain(kill));
                 self.reporter.say(false);
                 self.standing.set_healthy(false);
-                self.standing.leave();
                 self.due.insert((now + stop * CLOSE_AFTER, Due::Close));
                 // The module answers all by two periods before the kill.
                 self.due.insert((now + (stop - self.period), Due::Exit));
@@ -520,7 +519,12 @@
                     handle.push(ledger::Order::GiveUp(number));
                 }
             }
-            Due::Close => self.entrance.close(),
+            Due::Close => {
+                // Not before: until the lists have followed, a sidecar whose connection is ended only makes
+                // another, which costs both sides more than the task.
+                self.standing.leave();
+                self.entrance.close();
+            }
             Due::Exit => self.over = true,
         }
     }
