--- a/src/policy.rs
+++ b/src/policy.rs
@@ -44,9 +44,9 @@
 /// The free value lets in so many times what keeps cores and calls busy; none to stay for this share of due.
 const HELD_MORE: f64 = 2.0;
 const FREE_STAY: f64 = 0.3;
-/// Where the top utility is this many times the mean, twice as much is let in to choose from.
+/// Where the top utility is this many times the mean, twice as much is let in to choose from, and at least so
+/// many tasks a core however dear they are: a caller that is kept away rejects without choice.
 const STANDS_OUT: f64 = 2.0;
-/// There at least so many tasks a core are let in, however dear they are: a caller rejects without choice.
 const CHOICE: f64 = 4.0;
 /// A caller that is itself a backend has spent part of the due time: this share is left for each tier below.
 const TIER_SHARE: f64 = 1.0 / 3.0;
@@ -445,9 +445,8 @@
     }
 
     fn caller_gone(&mut self, id: TaskId) {
-        let task = self.inside(id);
-        task.owed = false;
-        match task.place {
+        self.inside(id).owed = false;
+        match self.inside(id).place {
             Place::Held | Place::Reusing => self.moved(id, Place::Over),
             Place::Standing => self.moved(id, Place::Ending),
             _ => {}
@@ -456,8 +455,7 @@
 
     fn stand(&mut self, id: TaskId) {
         self.moved(id, Place::Standing);
-        let at = self.now + self.call_room(id);
-        self.look_at(id, at);
+        self.look_at(id, self.now + self.call_room(id));
     }
 
     fn call_ended(&mut self, id: TaskId, outcome: CallOutcome) {
@@ -727,10 +725,10 @@
         let mean = |of: fn(&Row) -> f64| self.rows.iter().map(of).sum::<f64>() / self.rows.len() as f64;
         let (cost, waits) = (mean(|r| r.cost).max(1e-6), mean(|r| r.waits));
         let narrow = ((cost + waits) * HELD_MORE).min(self.mean_due * FREE_STAY);
-        let wide = (self.mean_due * FREE_STAY * 2.0, CHOICE);
-        let (stay, least) = if self.selective { wide } else { (narrow, 1.0) };
+        let stay = if self.selective { self.mean_due * FREE_STAY * 2.0 } else { narrow };
         // Reading costs work whatever is decided: tasks that lay unread say that too much is sent here.
         // Should catch every cause of that; harms after a mere pause, for as long as callers heed.
+        let least = if self.selective { CHOICE } else { 1.0 };
         let room = (self.cores / cost * stay).max(self.cores * least) * (1.0 - self.behind());
         let full = (self.load.out + self.hold.len() as f64) / room.max(1.0);
         match self.set.free_value {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -213,6 +213,26 @@
     assert!((10..40).contains(&calls), "fast day: 6,700 calls a second to a ledger that was down: {calls}");
 }
 
+#[test]
+fn slowed_cores_do_not_narrow_what_is_let_in_where_one_utility_stands_out() {
+    let mut set = Settings { cores: 6, free_value: FreeValue::Credit, callers: 1, ..settings() };
+    for (utility, stands_out) in [(2.0, false), (20.0, true)] {
+        set.stages = vec![stage(1.0), stage(1.0), stage(utility)];
+        let mut host = Host::new(set.clone());
+        // Each run has 400 ms of a core.
+        for i in 0..60 {
+            let tasks: Vec<_> = (0..6).map(|_| host.plain(i * 500, (i % 3) as usize)).collect();
+            tasks.into_iter().for_each(|task| host.end(i * 500 + 400, task));
+        }
+        let let_in = host.credit.expect("told");
+        assert_eq!(
+            let_in >= 20.0,
+            stands_out,
+            "r2b7da2: callers rejected the dear half themselves: {let_in}"
+        );
+    }
+}
+
 #[test]
 fn a_call_that_can_not_be_had_is_left_out_or_the_task_settled() {
     for skip_part in [0.5, 0.0] {
