A ledger connection carries the next call only after it was quiet; bad tasks log once

Read in ledger.rs: the connection that had just replied was taken first for the next call, so a copy or noise behind a reply that came once that call was written would have been its reply, and so reach the kernel changed. Now the one quiet for longest goes first, after 20 ms at least. The stand-in counts calls that came sooner: 19 of 20 before, none now.

--- a/crates/lynxtally-node/src/counters.rs
+++ b/crates/lynxtally-node/src/counters.rs
@@ -128,6 +128,8 @@
     bad_size: Count,
     /// Tasks read, by stage.
     tasks: Named,
+    /// Tasks rejected without the module: before the kernel is up, or under a name that is in use.
+    tasks_refused: Count,
     /// Tasks answered with a run's result.
     finished: Count,
     /// Tasks answered that they never ran.
--- a/crates/lynxtally-node/src/decide.rs
+++ b/crates/lynxtally-node/src/decide.rs
@@ -333,7 +333,13 @@
         // Before the kernel is up there is no module to ask, and a name that is inside already can't be told
         // from the task that has it. Neither is expected; neither ran.
         if self.policy.is_none() || self.door.find(&sent.id).is_some() {
-            warn!(id = sent.id, "a task before the kernel is up, or under a name that is in use");
+            if self.counters.tasks_refused.get() == 0 {
+                warn!(
+                    id = sent.id,
+                    "a task before the kernel is up, or under a name that is in use; later only counted"
+                );
+            }
+            self.counters.tasks_refused.add();
             self.counters.rejected.add();
             let answer = Answer::Rejected { hold_off: Span::ZERO, terminal: false };
             from.push(accept::Order::Answer(answer));
@@ -419,7 +425,9 @@
             }
             Notice::Ended { id, how, result } => self.run_ended(now, &id, how, result),
             Notice::Refused { command, id } => {
-                warn!(id, command, "the kernel did not carry out a command");
+                if self.counters.kernel_refused.get() == 0 {
+                    warn!(id, command, "the kernel did not carry out a command; later ones are only counted");
+                }
                 self.counters.kernel_refused.add();
                 if command == "SCHED" || command == "RESCHED" {
                     // The run will never be heard of again: the task must not hang on it.
--- a/crates/lynxtally-node/src/ledger.rs
+++ b/crates/lynxtally-node/src/ledger.rs
@@ -16,6 +16,9 @@
 /// The ledger closes connections that are idle for twice as long; ours go first, so that none is closed in
 /// use.
 const IDLE: Duration = Duration::from_secs(5);
+/// A connection carries the next call once it has been quiet for so long: what comes late behind a reply would
+/// else be taken for the next call's. Catches copies, noise and early closes; costs a few connections more.
+const QUIET: Duration = Duration::from_millis(20);
 const STACK_WORDS: usize = 0x2000;
 
 /// One call.
@@ -97,7 +100,12 @@
     pub fn call(self: &Arc<Self>, call: Call) -> Option<Handle> {
         self.counters.calls.add();
         loop {
-            let kept = wire::lock(&self.idle).pop();
+            let kept = {
+                let mut idle = wire::lock(&self.idle);
+                // The first has been quiet the longest.
+                let quiet = idle.first().is_some_and(|(since, _)| since.elapsed() >= QUIET);
+                quiet.then(|| idle.remove(0))
+            };
             let Some((_, handle)) = kept else { break };
             if handle.push(Order::Make(call.clone())) {
                 return Some(handle);
--- a/crates/lynxtally-node/tests/stories.rs
+++ b/crates/lynxtally-node/tests/stories.rs
@@ -274,6 +274,18 @@
     assert_eq!(count(&line, "calls_ok"), 5);
 }
 
+#[test]
+fn what_comes_late_behind_a_reply_is_not_the_next_calls() {
+    let world = World::start(NODE);
+    let mut caller = world.caller();
+    for n in 0..20 {
+        caller.send(&task(n, &format!("call:{n}")));
+        assert_eq!(caller.answer(), (200, n.to_string()));
+    }
+    assert_eq!((world.ledger.calls(), world.ledger.hasty()), (20, 0), "a call came right behind a reply");
+    leave(world);
+}
+
 #[test]
 fn a_call_that_is_refused_never_ran() {
     let (owner, heard) = channel();
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -317,7 +317,7 @@
 
     /// A ledger in some mood.
     #[derive(Clone)]
-    pub struct Ledger(Arc<Mutex<(Mood, u32)>>);
+    pub struct Ledger(Arc<Mutex<(Mood, u32, u32)>>);
 
     impl Ledger {
         /// Listens on one more address, in the same mood.
@@ -330,8 +330,11 @@
                     let state = state.clone();
                     thread::spawn(move || {
                         let mut caller = Caller::of(stream);
+                        let mut replied: Option<Instant> = None;
                         while let Some((_, body)) = caller.message() {
                             lock(&state).1 += 1;
+                            let hasty = replied.is_some_and(|at| at.elapsed() < Duration::from_millis(20));
+                            lock(&state).2 += u32::from(hasty);
                             until("the ledger is in the mood", || lock(&state).0 != Mood::Waits);
                             let mood = lock(&state).0;
                             let head = match mood {
@@ -345,6 +348,7 @@
                                 Mood::Drops => return,
                                 Mood::Garbles => "what?\r\n\r\n".into(),
                             };
+                            replied = Some(Instant::now());
                             caller.send(&head);
                         }
                     });
@@ -358,6 +362,11 @@
             lock(&self.0).0 = mood;
         }
 
+        /// How many calls came on a connection so soon after a reply that more could have followed it.
+        pub fn hasty(&self) -> u32 {
+            lock(&self.0).2
+        }
+
         /// How many calls it has read.
         pub fn calls(&self) -> u32 {
             lock(&self.0).1
@@ -483,7 +492,7 @@
             let folder = std::env::temp_dir().join(format!("lynxtally-{}-{number}", std::process::id()));
             std::fs::create_dir_all(&folder).expect("a folder");
             let kernel = Kernel(Arc::default());
-            let ledger = Ledger(Arc::new(Mutex::new((Mood::Well, 0))));
+            let ledger = Ledger(Arc::new(Mutex::new((Mood::Well, 0, 0))));
             let control = UdpSocket::bind("127.0.0.1:0").expect("a port");
             control.set_read_timeout(Some(LONG)).expect("a time-out");
             // An address on loopback that is this world's alone, so that no port can be taken by another's
