--- a/crates/lynxtally-node/tests/stories.rs
+++ b/crates/lynxtally-node/tests/stories.rs
@@ -23,7 +23,7 @@
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::process::Command;
 use std::sync::{mpsc, Arc};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const NODE: &str = env!("CARGO_BIN_EXE_lynxtally-node");
 
@@ -242,6 +242,18 @@
     leave(world);
 }
 
+#[test]
+fn a_node_stays_listed_though_most_of_its_reports_are_lost() {
+    let world = World::start(NODE);
+    // A report counts for 3 s. With one a second, three lost in a row took a node that was well off the list.
+    let in_time = || {
+        let start = Instant::now();
+        (0..6).for_each(|_| assert!(world.control.recv_from(&mut [0; 64]).is_ok()));
+        start.elapsed() < Duration::from_secs(3)
+    };
+    assert!((0..10).any(|_| in_time()), "six reports, twice as many as may be lost, come while one counts");
+}
+
 #[test]
 fn a_run_that_the_kernel_does_not_take_hangs_no_task() {
     let world = World::start(NODE);
