The host: what is general in the node's owner becomes a package all fronts stand on

A second front would have copied the hardest part of the node: open tasks, due times, the single answer, repeats, the notice to leave. They move to crates/core/host, with an executor and an answerer as the two traits round it and the clock as an argument; connections, ends, clock and alarm move to crates/fronts/wire. The messages between the node's parts stand in heard.rs, on which all stand and which stands on none, so accept, decide, kernel and ledger import each other no more.

All stories pass unchanged but for their imports; four new ones on the host in simulated time.

--- /dev/null
+++ b/crates/core/host/tests/stories.rs
@@ -0,0 +1,203 @@
+//! The host with a toy executor in simulated time: what every front relies on.
+
+use lynxtally::*;
+use lynxtally_host::*;
+
+/// Runs that end when the story says so.
+#[derive(Default)]
+struct Bench {
+    running: Vec<TaskId>,
+    given_up: Vec<u64>,
+    calls: Vec<(TaskId, u64)>,
+    released: usize,
+}
+
+impl Executor<&'static str> for Bench {
+    fn run(&mut self, task: TaskId, _: &mut &'static str) {
+        self.running.push(task);
+    }
+    fn stop(&mut self, _: TaskId, _: &mut &'static str) {}
+    fn call(&mut self, task: TaskId, work: &mut &'static str, number: u64, _: Span) -> bool {
+        self.calls.push((task, number));
+        *work != "no call can be made"
+    }
+    fn give_up(&mut self, _: &mut &'static str, number: u64) {
+        self.given_up.push(number);
+    }
+    fn release(&mut self, _: TaskId, _: &'static str) {
+        self.released += 1;
+    }
+}
+
+/// Answers by the caller's number.
+#[derive(Default)]
+struct Desk(Vec<(u32, Answer)>);
+
+impl Answerer<u32> for Desk {
+    fn answer(&mut self, from: u32, answer: Answer) -> bool {
+        self.0.push((from, answer));
+        from != 99
+    }
+}
+
+struct World {
+    host: Host<Policy, &'static str, u32, u8>,
+    bench: Bench,
+    desk: Desk,
+    now: u64,
+}
+
+impl World {
+    fn new() -> Self {
+        let mut world =
+            Self { host: Host::new(1000), bench: Bench::default(), desk: Desk::default(), now: 1_000_000 };
+        let now = world.at();
+        world.host.start(now, Policy::new(settings(), 1, now));
+        world.turn(0);
+        world
+    }
+
+    fn at(&self) -> Instant {
+        Instant::from_micros(self.now)
+    }
+
+    /// So many milliseconds pass, in steps no longer than the next due time.
+    fn turn(&mut self, millis: u64) {
+        let until = self.now + millis * 1000;
+        loop {
+            let due = self.host.next_due().map_or(until, |at| (at - Instant::default()).micros());
+            self.now = due.clamp(self.now, until);
+            let now = self.at();
+            while self.host.fall_due(now, &mut self.bench).is_some() {}
+            self.host.settle(now, &mut self.bench, &mut self.desk);
+            if self.now == until {
+                return;
+            }
+        }
+    }
+
+    fn enter(&mut self, name: &str, from: u32, stage: usize, key: Option<&str>) -> Result<TaskId, u32> {
+        let key = key.map(|key| (stage, key.to_owned()));
+        self.host.enter(self.at(), Some(name), Entry { stage, key, kb: 1.0, ..Entry::default() }, "", from)
+    }
+
+    fn end(&mut self, task: TaskId, end: RunEnd) {
+        let now = self.at();
+        self.host.run_ended(now, task, end, &mut self.bench, &mut self.desk);
+        self.turn(0);
+    }
+}
+
+fn settings() -> Settings {
+    let stage = |effect| StageSettings {
+        utility: 1.0,
+        late_part: 0.0,
+        due: Span::from_millis(1000),
+        limit: Span::from_millis(3000),
+        effect,
+        repeat_window: Span::from_millis(5000),
+        calls: true,
+        skip_part: 0.0,
+    };
+    Settings {
+        cores: 2,
+        memory_kb: 10_000.0,
+        run_memory: 4.0,
+        key_kb: 1.0,
+        cold: false,
+        cold_share: 0.2,
+        warm_after: Span::from_millis(1000),
+        crowd_limit: 6.0,
+        drain_grace: Span::from_millis(500),
+        stages: vec![stage(Effect::Restartable), stage(Effect::Fingerprinted)],
+        quotas: vec![],
+        over_share: 1.0,
+        by_work: false,
+        backends: 1,
+        callers: 1,
+        depth: 0,
+        below: Below::Nothing,
+        stoppable: false,
+        free_value: FreeValue::Silent,
+        heeded: Span::from_millis(1000),
+        idle_after: Span::ZERO,
+        share_for: Span::ZERO,
+        hold_off: Span::from_millis(1000),
+    }
+}
+
+#[test]
+fn every_task_read_gets_one_answer_whatever_becomes_of_it() {
+    let mut world = World::new();
+    let tasks: Vec<_> = (0..40).map(|n| world.enter(&n.to_string(), n, 0, None)).collect();
+    world.turn(0);
+    assert!(world.bench.running.len() >= 2, "the cores are used");
+    let first = world.bench.running[0];
+    let name = world.host.name(first).expect("it has one").to_owned();
+    assert_eq!(world.enter(&name, 50, 0, None), Err(50), "a name in use");
+    assert!(!world.host.gone(world.at(), first, |from| *from == 77), "another caller's going is not its own");
+    let running = world.bench.running.clone();
+    world.end(running[0], RunEnd::Finished(b"done".to_vec()));
+    world.end(running[1], RunEnd::Failed);
+    let open = |n: &u32| world.host.from(tasks[*n as usize].expect("taken")) == Some(n);
+    let waits = (0..40).find(open).expect("one waits");
+    assert!(world.host.gone(world.at(), tasks[waits as usize].expect("taken"), |from| *from == waits));
+    world.turn(5000);
+    let tally = world.host.tally();
+    assert!(tally.adds_up() && tally.open == 0, "{tally:?}");
+    let mut answered: Vec<u32> = world.desk.0.iter().map(|(from, _)| *from).collect();
+    answered.sort_unstable();
+    assert_eq!(
+        answered,
+        (0..40).filter(|n| *n != waits).collect::<Vec<_>>(),
+        "one answer each, none to whom is gone"
+    );
+    assert_eq!((tally.finished, tally.gone, tally.read), (1, 1, 41));
+}
+
+#[test]
+fn a_repeat_is_answered_from_the_first_run_and_an_answer_nobody_takes_is_counted() {
+    let mut world = World::new();
+    let first = world.enter("a", 1, 1, Some("mark")).expect("taken");
+    world.turn(0);
+    world.enter("b", 99, 1, Some("mark")).expect("taken");
+    world.turn(10);
+    assert_eq!(world.bench.running, [first], "the repeat does not run");
+    world.end(first, RunEnd::Finished(b"r".to_vec()));
+    assert_eq!(world.desk.0, [(99, Answer::Finished(b"r".to_vec())), (1, Answer::Finished(b"r".to_vec()))]);
+    assert_eq!((world.host.tally().finished, world.host.tally().lost), (2, 1));
+}
+
+#[test]
+fn a_call_whose_time_is_over_is_given_up_and_a_late_end_of_it_is_nobodys() {
+    let mut world = World::new();
+    let task = world.enter("a", 1, 0, None).expect("taken");
+    world.turn(0);
+    world.host.at_call(world.at(), task);
+    world.turn(0);
+    let (_, number) = world.bench.calls[0];
+    world.turn(2000);
+    assert!(world.bench.given_up.contains(&number));
+    assert!(world.host.call_ended(world.at(), task, number, CallOutcome::MayHaveRun));
+    assert!(!world.host.call_ended(world.at(), task, number, CallOutcome::Ok), "it ended once");
+    world.turn(4000);
+    assert!(world.host.tally().adds_up() && world.host.tally().open == 0);
+}
+
+#[test]
+fn before_anything_decides_a_task_is_refused_and_a_notice_to_leave_is_not_forgotten() {
+    let mut host: Host<Policy, &'static str, u32, u8> = Host::new(0);
+    let now = Instant::from_micros(5);
+    assert_eq!(host.enter(now, None, Entry::default(), "", 1), Err(1));
+    assert!(host.drain(now, Span::from_millis(100)) && !host.drain(now, Span::from_millis(100)));
+    host.start(now, Policy::new(settings(), 1, now));
+    let late = now + Span::from_millis(600);
+    assert!(host.enter(late, None, Entry { kb: 1.0, ..Entry::default() }, "", 2).is_ok());
+    let (mut bench, mut desk) = (Bench::default(), Desk::default());
+    host.settle(late, &mut bench, &mut desk);
+    assert!(
+        matches!(desk.0[..], [(2, Answer::Rejected { .. })]) && bench.running.is_empty(),
+        "past the grace"
+    );
+    assert_eq!(bench.released, 1);
+}
--- a/crates/lynxtally-node/src/accept.rs
+++ b/crates/lynxtally-node/src/accept.rs
@@ -1,14 +1,15 @@
 //! Connections from sidecars: taken eagerly, read eagerly, one task at a time on each.
 
-use crate::alarm::Alarm;
 use crate::answer::{self, Answer, Standing};
-use crate::clock::Clock;
 use crate::config::Bounds;
 use crate::counters::Counters;
-use crate::decide::Heard;
-use crate::end::End;
-use crate::http::{Asked, Bad, Message, Names, Reader, Sent};
-use crate::wire::{self, Filled, Line, Outbox};
+use crate::heard::Heard;
+pub use crate::heard::{Handle, Order, Taken};
+use crate::http::{Asked, Bad, Message, Names, Reader};
+use lynxtally_wire::alarm::Alarm;
+use lynxtally_wire::clock::Clock;
+use lynxtally_wire::end::End;
+use lynxtally_wire::line::{self as wire, Filled, Line};
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use may::sync::mpsc::Sender;
 use std::collections::BTreeMap;
@@ -31,26 +32,6 @@
 /// After so many connections taken in one go the others get their turn.
 const TURN: u32 = 16;
 
-/// What a connection is told.
-#[derive(Clone, Debug)]
-pub enum Order {
-    /// The final answer to its task.
-    Answer(Answer),
-    /// Close if no task is open and nothing came meanwhile; the end says why.
-    Close(End),
-}
-
-/// A connection, as the owner knows it.
-pub type Handle = Arc<Outbox<Order>>;
-
-/// A task as it goes to the owner, and where its answer is awaited.
-pub struct Taken {
-    /// The task.
-    pub sent: Sent,
-    /// The connection.
-    pub from: Handle,
-}
-
 /// How a connection stands. To make room, the ones named first go first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Stand {
--- a/crates/lynxtally-node/src/answer.rs
+++ b/crates/lynxtally-node/src/answer.rs
@@ -22,6 +22,17 @@
     Unfit(u16),
 }
 
+impl From<lynxtally_host::Answer> for Answer {
+    fn from(answer: lynxtally_host::Answer) -> Self {
+        use lynxtally_host::Answer as Final;
+        match answer {
+            Final::Finished(result) => Self::Finished(result),
+            Final::Rejected { hold_off, terminal } => Self::Rejected { hold_off, terminal },
+            Final::Abandoned => Self::Abandoned,
+        }
+    }
+}
+
 /// What goes with every answer and what health checks hear. The owner sets it, connections read it.
 #[derive(Debug, Default)]
 pub struct Standing {
--- a/crates/lynxtally-node/src/kernel.rs
+++ b/crates/lynxtally-node/src/kernel.rs
@@ -1,11 +1,12 @@
 //! The link to the kernel, which does the work: its lines in and out, and the driver that holds one link
 //! open.
 
-use crate::alarm::Alarm;
 use crate::counters::Counters;
-use crate::decide::Heard;
-use crate::end::End;
-use crate::wire::{lock, Filled, Line, Outbox};
+use crate::heard::Heard;
+pub use crate::heard::{Notice, Reaped};
+use lynxtally_wire::alarm::Alarm;
+use lynxtally_wire::end::End;
+use lynxtally_wire::line::{lock, Filled, Line, Outbox};
 use may::sync::mpsc::Sender;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -122,60 +123,6 @@
     }
 }
 
-/// How a run ended, by the kernel's word.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reaped {
-    /// Well, with a result.
-    Ok,
-    /// With an error.
-    Error,
-    /// It was stopped, or ended at a call as nobody waits.
-    Stopped,
-    /// Nothing was started.
-    Moot,
-}
-
-/// What the kernel tells.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Notice {
-    /// It came up some milliseconds ago.
-    Booted {
-        /// Whether it was cold then.
-        cold: bool,
-        /// How long ago.
-        ms: f64,
-    },
-    /// A run is over.
-    Ended {
-        /// The task's name.
-        id: String,
-        /// How it ended.
-        how: Reaped,
-        /// Its result.
-        result: Vec<u8>,
-    },
-    /// A run waits for a call with this body.
-    AtCall {
-        /// The task's name.
-        id: String,
-        /// What goes to the ledger.
-        body: Vec<u8>,
-    },
-    /// The gauges, in the order of the settings.
-    Gauges(Vec<f64>),
-    /// All that happened before the link with this number was made has been told.
-    Synced(u64),
-    /// A command was not carried out.
-    Refused {
-        /// The command's word.
-        command: String,
-        /// The task's name.
-        id: String,
-    },
-    /// A remark with no meaning.
-    Remark(String),
-}
-
 /// Bytes from the kernel, split anywhere, and the notices in them.
 #[derive(Debug, Default)]
 pub struct Reader {
--- a/crates/lynxtally-node/src/ledger.rs
+++ b/crates/lynxtally-node/src/ledger.rs
@@ -2,11 +2,12 @@
 //! made once; whether it is made again is decided elsewhere.
 
 use crate::counters::Counters;
-use crate::decide::Heard;
-use crate::end::End;
-use crate::http::{self, Message, Reply};
-use crate::wire::{self, Filled, Line, Outbox};
-use lynxtally::{CallOutcome, Span};
+pub use crate::heard::Ended;
+use crate::heard::Heard;
+use crate::http::{self, Message};
+use lynxtally::Span;
+use lynxtally_wire::end::End;
+use lynxtally_wire::line::{self as wire, Filled, Line, Outbox};
 use may::sync::mpsc::Sender;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -45,32 +46,6 @@
     Close,
 }
 
-/// How a call ended: with a reply, or with its connection.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Ended {
-    /// The ledger replied.
-    Replied(Reply),
-    /// No whole reply came.
-    Without {
-        /// How the connection ended.
-        end: End,
-        /// Whether any byte of the call was written.
-        written: bool,
-    },
-}
-
-impl Ended {
-    /// What the module is told.
-    pub fn outcome(&self) -> CallOutcome {
-        match self {
-            Self::Replied(Reply { status: 200, .. }) => CallOutcome::Ok,
-            Self::Replied(Reply { untouched: true, .. }) => CallOutcome::NeverRan,
-            Self::Replied(_) => CallOutcome::MayHaveRun,
-            Self::Without { end, written } => end.call_outcome(*written),
-        }
-    }
-}
-
 /// A connection, as the owner knows it.
 pub type Handle = Arc<Outbox<Order>>;
 
--- a/crates/lynxtally-node/src/node.rs
+++ b/crates/lynxtally-node/src/node.rs
@@ -1,16 +1,17 @@
 //! One node from its start to its end: makes the parts, joins them, and waits for the owner.
 
 use crate::accept::{self, Entrance};
-use crate::alarm::Alarm;
 use crate::answer::Standing;
 use crate::config::Config;
 use crate::control::{self, Reporter, State};
 use crate::counters::Counters;
-use crate::decide::{Heard, Owner, Parts};
+use crate::decide::{Owner, Parts};
+use crate::heard::Heard;
 use crate::http::Names;
 use crate::kernel::{self, Orders};
 use crate::ledger::Ledger;
-use crate::wire::{guarded, spawn};
+use lynxtally_wire::alarm::Alarm;
+use lynxtally_wire::line::{guarded, spawn};
 use may::sync::mpsc::{channel, Receiver, Sender};
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
 use std::io::Write;
--- a/crates/lynxtally-node/tests/codecs.rs
+++ b/crates/lynxtally-node/tests/codecs.rs
@@ -1,13 +1,13 @@
 //! The state machines by bytes: split anywhere, several at once, cut off, over-long. No socket is needed.
 
 use lynxtally::{CallOutcome, Instant, Repeat, Span, TaskId};
+use lynxtally_host::Repeats;
 use lynxtally_node::answer::{self, Answer};
 use lynxtally_node::config;
-use lynxtally_node::end::End;
 use lynxtally_node::http::{Asked, Bad, Message, Names, Reader, Sent, BODY_MOST, HEAD_MOST};
 use lynxtally_node::kernel::{self, Command, Notice, Reaped};
 use lynxtally_node::ledger::Ended;
-use lynxtally_node::repeats::Repeats;
+use lynxtally_wire::end::End;
 
 #[allow(dead_code)]
 #[path = "../../../tests/host/mod.rs"]
--- a/crates/lynxtally-node/tests/stories.rs
+++ b/crates/lynxtally-node/tests/stories.rs
@@ -6,18 +6,19 @@
 use host::world::{id, staged, task, until, Caller, Mood, World};
 use lynxtally::{CallOutcome, Span};
 use lynxtally_node::accept::{self, Entrance, Taken};
-use lynxtally_node::alarm::Alarm;
 use lynxtally_node::answer::{Answer, Standing};
-use lynxtally_node::clock::Clock;
 use lynxtally_node::config::Bounds;
 use lynxtally_node::control::Reporter;
 use lynxtally_node::counters::Counters;
-use lynxtally_node::decide::{Heard, Parts};
-use lynxtally_node::end::End;
+use lynxtally_node::decide::Parts;
+use lynxtally_node::heard::Heard;
 use lynxtally_node::http::{Names, Sent};
 use lynxtally_node::kernel::{Notice, Orders, Reaped};
 use lynxtally_node::ledger::{Call, Ended, Ledger};
 use lynxtally_node::{config, node};
+use lynxtally_wire::alarm::Alarm;
+use lynxtally_wire::clock::Clock;
+use lynxtally_wire::end::End;
 use may::sync::mpsc::{channel, Sender};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream, UdpSocket};
@@ -337,7 +338,7 @@
         (0..2000).for_each(|n| alarm.sleep(Duration::from_micros(n % 100)));
         done.send(()).expect("it is heard");
     };
-    lynxtally_node::wire::spawn(0x2000, waits, |text| panic!("{text}")).expect("it starts");
+    lynxtally_wire::line::spawn(0x2000, waits, |text| panic!("{text}")).expect("it starts");
     all.recv_timeout(Duration::from_secs(20)).expect("no wait is lost");
 }
 
@@ -409,7 +410,7 @@
     let callers = (0..waiting).map(|_| Caller::to(at)).collect();
     let accepting = entrance.clone();
     let failed = |text| panic!("{text}");
-    lynxtally_node::wire::spawn(0x2000, move || accepting.accept(listener), failed).expect("it starts");
+    lynxtally_wire::line::spawn(0x2000, move || accepting.accept(listener), failed).expect("it starts");
     (entrance, at, callers)
 }
 
--- a/src/door.rs
+++ b/src/door.rs
@@ -12,11 +12,14 @@
 /// assert_eq!(door.name(task), Some("a1"));
 /// door.leave(task);
 /// assert_eq!(door.find("a1"), None);
+/// let other = door.seat();
+/// assert_eq!((other, door.name(other)), (task, None));
 /// ```
 #[derive(Debug, Default)]
 pub struct Door {
     by_name: HashMap<String, TaskId>,
-    names: Vec<Option<String>>,
+    /// Of each index: whether it is taken, and its name, where it has one.
+    names: Vec<(bool, Option<String>)>,
     free: Vec<TaskId>,
 }
 
@@ -26,12 +29,19 @@
         if let Some(&task) = self.by_name.get(name) {
             return task;
         }
+        let task = self.seat();
+        self.names[task.0 as usize].1 = Some(name.to_owned());
+        self.by_name.insert(name.to_owned(), task);
+        task
+    }
+
+    /// An index for a task that nobody will name.
+    pub fn seat(&mut self) -> TaskId {
         let task = self.free.pop().unwrap_or_else(|| {
-            self.names.push(None);
+            self.names.push((false, None));
             TaskId(self.names.len() as u32 - 1)
         });
-        self.names[task.0 as usize] = Some(name.to_owned());
-        self.by_name.insert(name.to_owned(), task);
+        self.names[task.0 as usize].0 = true;
         task
     }
 
@@ -42,13 +52,16 @@
 
     /// The name behind an index.
     pub fn name(&self, task: TaskId) -> Option<&str> {
-        self.names.get(task.0 as usize)?.as_deref()
+        self.names.get(task.0 as usize)?.1.as_deref()
     }
 
     /// Frees an index, to be called on [`Action::Release`](crate::Action::Release).
     pub fn leave(&mut self, task: TaskId) {
-        if let Some(name) = self.names.get_mut(task.0 as usize).and_then(Option::take) {
+        let Some((taken, name)) = self.names.get_mut(task.0 as usize) else { return };
+        if let Some(name) = name.take() {
             self.by_name.remove(&name);
+        }
+        if std::mem::take(taken) {
             self.free.push(task);
         }
     }
