--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,145 @@
+//! `lynxtally`: the operators' program.
+
+#![forbid(unsafe_code)]
+
+mod names;
+mod updates;
+
+use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tracing::level_filters::LevelFilter;
+
+/// Admission and scheduling for servers behind balancers nobody can change, and the programs round it.
+#[derive(Parser)]
+#[command(name = "lynxtally", version, propagate_version = true)]
+struct Arguments {
+    /// How results are written.
+    #[arg(long, global = true, value_enum, default_value_t = Format::Text)]
+    format: Format,
+    /// What is logged: off, error, warn, info, debug or trace.
+    #[arg(long, global = true, default_value = "info", value_name = "LEVEL")]
+    log: LevelFilter,
+    /// How the log is written; it goes to standard error.
+    #[arg(long, global = true, value_enum, default_value_t = Format::Text)]
+    log_format: Format,
+    #[command(subcommand)]
+    noun: Noun,
+}
+
+/// How something is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Format {
+    /// For people.
+    Text,
+    /// For programs.
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Noun {
+    /// The fleet's names: zone files, updates, transfers.
+    #[command(subcommand)]
+    Names(names::Verb),
+    /// Settings templates.
+    #[command(subcommand)]
+    Settings(SettingsVerb),
+    /// Write a completion script for a shell.
+    Completion {
+        /// The shell.
+        shell: clap_complete::Shell,
+    },
+    /// Write the manual page.
+    Man,
+}
+
+#[derive(Subcommand)]
+enum SettingsVerb {
+    /// Evaluate a template and write the JSON that comes out.
+    Render {
+        /// The template.
+        file: PathBuf,
+    },
+    /// Check the settings of a names server.
+    Check {
+        /// The template.
+        file: PathBuf,
+    },
+}
+
+/// How a command ended, beside well: the thing checked is wrong, or the usage or surroundings are.
+pub enum Failed {
+    /// What was checked is wrong; it has been said.
+    Wrong,
+    /// One line for the person at the terminal.
+    Usage(String),
+}
+
+impl From<String> for Failed {
+    fn from(what: String) -> Self {
+        Self::Usage(what)
+    }
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let log =
+        tracing_subscriber::fmt().with_max_level(arguments.log).with_writer(std::io::stderr).with_ansi(false);
+    match arguments.log_format {
+        Format::Text => log.init(),
+        Format::Json => log.json().init(),
+    }
+    let done = match arguments.noun {
+        Noun::Names(verb) => names::run(verb, arguments.format),
+        Noun::Settings(verb) => settings(verb),
+        Noun::Completion { shell } => {
+            clap_complete::generate(shell, &mut Arguments::command(), "lynxtally", &mut std::io::stdout());
+            Ok(())
+        }
+        Noun::Man => manual(),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failed::Wrong) => ExitCode::from(1),
+        Err(Failed::Usage(what)) => {
+            eprintln!("lynxtally: {what}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn settings(verb: SettingsVerb) -> Result<(), Failed> {
+    match verb {
+        SettingsVerb::Render { file } => {
+            let json = lynxtally_template::evaluate(&file)
+                .map_err(|fault| format!("{}: {fault}", file.display()))?;
+            println!("{}", serde_json::to_string_pretty(&json).map_err(|fault| fault.to_string())?);
+        }
+        SettingsVerb::Check { file } => {
+            if let Err(what) = names::settings(&file) {
+                eprintln!("{what}");
+                return Err(Failed::Wrong);
+            }
+            println!("{}: well", file.display());
+        }
+    }
+    Ok(())
+}
+
+fn manual() -> Result<(), Failed> {
+    let mut command = Arguments::command();
+    command.build();
+    let write = |command: &clap::Command| {
+        clap_mangen::Man::new(command.clone())
+            .render(&mut std::io::stdout())
+            .map_err(|fault| fault.to_string())
+    };
+    write(&command)?;
+    for noun in command.get_subcommands() {
+        write(noun)?;
+        for verb in noun.get_subcommands() {
+            write(verb)?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/names.rs
@@ -0,0 +1,449 @@
+//! `lynxtally names`.
+
+use crate::{updates, Failed, Format};
+use clap::{Args, Subcommand};
+use lynxtally_dns::client::{query, Client};
+use lynxtally_dns::codec::{Answered, Code};
+use lynxtally_dns::control::{self, Verb as Control};
+use lynxtally_dns::server;
+use lynxtally_dns::settings::{self, Checked};
+use lynxtally_dns::tsig::Key;
+use lynxtally_journal::Journal;
+use lynxtally_names::change::{between, Change};
+use lynxtally_names::file;
+use lynxtally_names::follow::Brought;
+use lynxtally_names::keeper::{decode, Entry, Snapshot};
+use lynxtally_names::zone::Record;
+use lynxtally_names::{Kind, Name, Zone};
+use rand::Rng;
+use serde_json::json;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What can be done about names.
+#[derive(Subcommand)]
+pub enum Verb {
+    /// Check zone files: a line for each record that is refused, then how many were kept.
+    Check {
+        /// The files.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// The zone's topmost name; else the SOA's owner is it.
+        #[arg(long)]
+        apex: Option<Name>,
+        /// With more refused records than this a file is of no use.
+        #[arg(long, default_value_t = usize::MAX)]
+        refused_most: usize,
+    },
+    /// Serve names until told to leave (SIGTERM); SIGHUP has all files read again.
+    Serve {
+        /// The settings.
+        #[arg(long)]
+        settings: PathBuf,
+    },
+    /// Ask a server.
+    Query {
+        #[command(flatten)]
+        server: Server,
+        /// The name.
+        name: Name,
+        /// The kind of record.
+        #[arg(default_value = "A", value_parser = kind)]
+        kind: Kind,
+        /// Over a connection from the start.
+        #[arg(long)]
+        tcp: bool,
+    },
+    /// Change records: steps from the line or from a file, all of them or none.
+    Update {
+        #[command(flatten)]
+        server: Server,
+        /// The zone.
+        #[arg(long)]
+        zone: Name,
+        /// For how many seconds what is added is held unless it is renewed.
+        #[arg(long)]
+        lease: Option<u32>,
+        /// A file with steps, one a line.
+        #[arg(long)]
+        file: Option<PathBuf>,
+        /// A step, such as `add www 300 A 192.0.2.1`, `del www A`, `need www A`, `need-not www`; the owners are
+        /// relative to the zone. Several are separated by `;`.
+        steps: Vec<String>,
+    },
+    /// Have a zone transferred, as a zone file or as what changed.
+    Transfer {
+        #[command(flatten)]
+        server: Server,
+        /// The zone.
+        zone: Name,
+        /// Only what changed since this version.
+        #[arg(long)]
+        since: Option<u32>,
+    },
+    /// Tell in which records two zone files differ.
+    Diff {
+        /// The older one.
+        old: PathBuf,
+        /// The newer one.
+        new: PathBuf,
+        /// The zone's topmost name; else the SOA's owner is it.
+        #[arg(long)]
+        apex: Option<Name>,
+    },
+    /// Have a running server take no updates for a zone.
+    Freeze(Running),
+    /// Have it take them again.
+    Thaw(Running),
+    /// Have it read the zone's file again.
+    Reread(Running),
+    /// Ask how a running server stands.
+    Status {
+        /// The settings it was started with.
+        #[arg(long)]
+        settings: PathBuf,
+    },
+    /// The logs of zones.
+    #[command(subcommand)]
+    Journal(JournalVerb),
+}
+
+/// What can be done about logs.
+#[derive(Subcommand)]
+pub enum JournalVerb {
+    /// Write each step that is on a zone's log.
+    Show(Running),
+    /// Read a zone's log through and say what is wrong with it; nothing is changed.
+    Verify(Running),
+    /// Have a running server shorten a zone's log by a snapshot.
+    Compact(Running),
+}
+
+/// A zone of a server.
+#[derive(Args)]
+pub struct Running {
+    /// The settings of the server.
+    #[arg(long)]
+    settings: PathBuf,
+    /// The zone.
+    zone: Name,
+}
+
+/// A server to ask.
+#[derive(Args)]
+pub struct Server {
+    /// Its address and port.
+    #[arg(long, default_value = "127.0.0.1:53")]
+    server: SocketAddr,
+    /// A file with the key that signs; of several the first.
+    #[arg(long)]
+    key: Option<PathBuf>,
+    /// How long an answer is waited for, in milliseconds.
+    #[arg(long, default_value_t = 5000)]
+    patience_ms: u64,
+}
+
+fn kind(text: &str) -> Result<Kind, String> {
+    Kind::parse(text).ok_or_else(|| format!("{text:?} is no kind of record"))
+}
+
+impl Server {
+    /// One that asks it.
+    pub fn client(&self) -> Result<Client, Failed> {
+        let key = match &self.key {
+            None => None,
+            Some(path) => {
+                let keys = settings::read_keys(path).map_err(|what| format!("`--key` {what}"))?;
+                keys.first().cloned()
+            }
+        };
+        let key: Option<Arc<Key>> = key;
+        Ok(Client { server: self.server, key, patience: Duration::from_millis(self.patience_ms.max(1)) })
+    }
+}
+
+/// Reads and checks the settings of a names server.
+pub fn settings(path: &Path) -> Result<Checked, String> {
+    let file: settings::File = lynxtally_template::read(path)?;
+    file.check().map_err(|fault| format!("{}: {fault}", path.display()))
+}
+
+fn wrong(what: impl std::fmt::Display) -> Failed {
+    Failed::Usage(what.to_string())
+}
+
+/// Does it.
+pub fn run(verb: Verb, format: Format) -> Result<(), Failed> {
+    match verb {
+        Verb::Check { files, apex, refused_most } => check(&files, apex.as_ref(), refused_most, format),
+        Verb::Serve { settings: path } => serve(&path),
+        Verb::Query { server, name, kind, tcp } => {
+            let client = server.client()?;
+            let question = query(rand::rng().random(), &name, kind);
+            let answered = if tcp { client.ask(&question) } else { client.ask_by_datagram(&question) };
+            let answered = answered.map_err(|fault| wrong(format!("{}: {fault}", server.server)))?;
+            show(&answered, format);
+            if answered.code == 0 {
+                Ok(())
+            } else {
+                Err(Failed::Wrong)
+            }
+        }
+        Verb::Update { server, zone, lease, file, steps } => {
+            updates::send(&server.client()?, &zone, lease, file.as_deref(), &steps, format)
+        }
+        Verb::Transfer { server, zone, since } => transfer(&server.client()?, &zone, since),
+        Verb::Diff { old, new, apex } => {
+            let read = |path: &Path| zone_of(path, apex.as_ref());
+            let change = between(&read(&old)?, &read(&new)?);
+            show_change(&change);
+            if change.is_empty() {
+                Ok(())
+            } else {
+                Err(Failed::Wrong)
+            }
+        }
+        Verb::Freeze(running) => tell(&running, Control::Freeze),
+        Verb::Thaw(running) => tell(&running, Control::Thaw),
+        Verb::Reread(running) => tell(&running, Control::Reread),
+        Verb::Status { settings: path } => say(&settings(&path)?.state, &Control::Status),
+        Verb::Journal(JournalVerb::Compact(running)) => tell(&running, Control::Compact),
+        Verb::Journal(JournalVerb::Show(running)) => journal(&running, true, format),
+        Verb::Journal(JournalVerb::Verify(running)) => journal(&running, false, format),
+    }
+}
+
+fn tell(running: &Running, verb: impl FnOnce(String) -> Control) -> Result<(), Failed> {
+    say(&settings(&running.settings)?.state, &verb(running.zone.to_string()))
+}
+
+fn say(state: &Path, verb: &Control) -> Result<(), Failed> {
+    let said = control::ask(state, verb)
+        .map_err(|fault| wrong(format!("no server runs on {}: {fault}", state.display())))?;
+    println!("{said}");
+    if said.starts_with("{\"error\"") {
+        Err(Failed::Wrong)
+    } else {
+        Ok(())
+    }
+}
+
+fn read_file(path: &Path, apex: Option<&Name>, refused: usize) -> Result<file::Read, Failed> {
+    let shown = path.display().to_string();
+    let text = std::fs::read(path).map_err(|fault| wrong(format!("{shown}: {fault}")))?;
+    let folder = path.parent().map(Path::to_owned).unwrap_or_default();
+    let limits = file::Limits { refused, ..file::Limits::default() };
+    Ok(file::read(&shown, &text, apex, limits, &mut |name| server::include(&folder, name)))
+}
+
+fn zone_of(path: &Path, apex: Option<&Name>) -> Result<Zone, Failed> {
+    let read = read_file(path, apex, usize::MAX)?;
+    read.faults.iter().for_each(|fault| eprintln!("{fault}"));
+    match read.unusable {
+        Some(fault) => Err(wrong(fault)),
+        None => Ok(read.zone),
+    }
+}
+
+fn check(files: &[PathBuf], apex: Option<&Name>, refused: usize, format: Format) -> Result<(), Failed> {
+    let (mut kept, mut all_refused, mut usable, mut told) = (0, 0, true, Vec::new());
+    for path in files {
+        let read = read_file(path, apex, refused)?;
+        kept += read.zone.records();
+        all_refused += read.refused;
+        usable &= read.unusable.is_none();
+        let unusable = read.unusable.iter().filter(|fault| !read.faults.contains(fault));
+        for fault in read.faults.iter().chain(unusable) {
+            match format {
+                Format::Text => println!("{fault}"),
+                Format::Json => told.push(json!({
+                    "file": &*fault.file, "line": fault.line, "column": fault.column, "reason": fault.reason,
+                })),
+            }
+        }
+    }
+    match format {
+        Format::Text => println!("{kept} records kept, {all_refused} refused"),
+        Format::Json => {
+            println!("{}", json!({"kept": kept, "refused": all_refused, "usable": usable, "faults": told}))
+        }
+    }
+    if usable && all_refused == 0 {
+        Ok(())
+    } else {
+        Err(Failed::Wrong)
+    }
+}
+
+fn serve(path: &Path) -> Result<(), Failed> {
+    let checked = settings(path)?;
+    may::config().set_workers(1).set_stack_size(0x2000).set_worker_pin(false);
+    let running = server::start(checked.clone(), server::module)?;
+    for at in &running.listen {
+        println!("listening on {at}");
+    }
+    let ear = running.ear.clone();
+    let zones: Vec<String> =
+        checked.zones.iter().filter(|z| z.file.is_some()).map(|z| z.apex.to_string()).collect();
+    let mut signals =
+        signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|fault| fault.to_string())?;
+    std::thread::spawn(move || {
+        for signal in signals.forever() {
+            if signal != SIGHUP {
+                ear.say(server::Heard::Leave);
+                continue;
+            }
+            for zone in &zones {
+                let (answer, _) = std::sync::mpsc::channel();
+                ear.say(server::Heard::Control(Control::Reread(zone.clone()), answer));
+            }
+        }
+    });
+    let ended = running.end.recv().map_err(|_| "the server failed; the log says why".to_owned())?;
+    let _ = std::fs::remove_file(control::path(&checked.state));
+    println!("{}", ended.counters);
+    if ended.adds_up {
+        Ok(())
+    } else {
+        Err(wrong("a task that was read got no answer, or more than one"))
+    }
+}
+
+fn record_json(record: &Record) -> serde_json::Value {
+    json!({
+        "name": record.name.to_string(), "ttl": record.ttl, "kind": record.kind.to_string(),
+        "data": record.kind.write(&record.data),
+    })
+}
+
+/// Writes an answer.
+pub fn show(answered: &Answered, format: Format) {
+    let names = ["answer", "authority", "additional"];
+    if format == Format::Json {
+        let sections: BTreeMap<&str, Vec<_>> = names
+            .into_iter()
+            .zip(&answered.sections)
+            .map(|(n, all)| (n, all.iter().map(record_json).collect()))
+            .collect();
+        let reason = answered.reason.as_ref().map(|(code, text)| json!({"code": code, "text": text}));
+        let said = json!({
+            "code": Code(answered.code).to_string(), "authoritative": answered.authoritative, "reason": reason,
+            "lease": answered.lease, "sections": sections,
+        });
+        return println!("{said}");
+    }
+    let kind = if answered.authoritative { "authoritative" } else { "not authoritative" };
+    println!("; {}, {kind}", Code(answered.code));
+    if let Some((code, text)) = &answered.reason {
+        println!("; reason {code}: {text}");
+    }
+    if let Some(lease) = answered.lease {
+        println!("; held for {lease} s");
+    }
+    for (name, records) in names.into_iter().zip(&answered.sections) {
+        if !records.is_empty() {
+            println!("; {name}");
+        }
+        records.iter().for_each(|record| println!("{record}"));
+    }
+}
+
+fn show_change(change: &Change) {
+    change.removed.iter().for_each(|record| println!("- {record}"));
+    change.added.iter().for_each(|record| println!("+ {record}"));
+}
+
+fn transfer(client: &Client, zone: &Name, since: Option<u32>) -> Result<(), Failed> {
+    let soa = since.map(|serial| {
+        let mut data = vec![0, 0];
+        data.extend(serial.to_be_bytes());
+        data.extend([0; 16]);
+        Record { name: zone.clone(), kind: Kind::SOA, ttl: 0, data }
+    });
+    let brought = client
+        .transfer(zone, soa.as_ref(), usize::MAX / 2, rand::rng().random())
+        .map_err(|fault| wrong(format!("{}: {fault}", client.server)))?;
+    match brought {
+        Brought::Nothing(serial) => println!("; nothing is newer than {serial}"),
+        Brought::Changes(changes) => changes.iter().for_each(show_change),
+        Brought::Whole(records) => {
+            let version = lynxtally_names::follow::version(zone, None, &records).map_err(wrong)?;
+            print!("{}", file::write(&version));
+        }
+    }
+    Ok(())
+}
+
+fn journal(running: &Running, show: bool, format: Format) -> Result<(), Failed> {
+    let checked = settings(&running.settings)?;
+    let zone = checked.zones.iter().find(|zone| zone.apex == running.zone);
+    let zone = zone.ok_or_else(|| wrong(format!("{} is no zone of the settings", running.zone)))?;
+    let name = server::journal_name(zone);
+    let mut folder = server::folder(&checked.state)?;
+    let (_, found) = Journal::look(&mut folder, &name).map_err(wrong)?;
+    let mut faults: Vec<String> = found.damage.iter().map(ToString::to_string).collect();
+    let snapshot = found.snapshot.as_deref().map(decode::<Snapshot>).transpose();
+    if let Ok(Some(snapshot)) = &snapshot {
+        if server::read_base(&mut folder, &snapshot.base).is_none() {
+            faults.push(format!("{}: the base is missing or damaged", snapshot.base));
+        }
+        if show {
+            println!("; snapshot: base {}, {} records changed since", snapshot.base, snapshot.overlay.len());
+            println!(
+                "; {} changes kept, {} leases, {} repeats known",
+                snapshot.history.len(),
+                snapshot.leases.len(),
+                snapshot.marks.len()
+            );
+        }
+    }
+    faults.extend(snapshot.err());
+    let mut count = 0;
+    for octets in &found.entries {
+        match decode::<Entry>(octets) {
+            Ok(entry) if show => show_entry(&entry),
+            Ok(_) => {}
+            Err(what) => faults.push(format!("entry {count}: {what}")),
+        }
+        count += 1;
+    }
+    if let Some(cut) = &found.cut {
+        // It was never acknowledged: no fault, but worth a line.
+        println!("; {}: {} octets at {} broke off and will be cut off", cut.file, cut.octets, cut.at);
+    }
+    match format {
+        Format::Text => {
+            faults.iter().for_each(|fault| println!("{fault}"));
+            println!("{count} entries, {} faults", faults.len());
+        }
+        Format::Json => {
+            println!("{}", json!({"entries": count, "faults": faults, "cut": found.cut.is_some()}))
+        }
+    }
+    if faults.is_empty() {
+        Ok(())
+    } else {
+        Err(Failed::Wrong)
+    }
+}
+
+fn show_entry(entry: &Entry) {
+    match entry {
+        Entry::Changed { change, lease, .. } => {
+            let held = if *lease > 0 { format!(", held for {lease} s") } else { String::new() };
+            println!("; {} to {}{held}", change.from, change.to);
+            show_change(change);
+        }
+        Entry::Kept(records) => {
+            for (name, kind, data) in records {
+                println!("; no longer held: {name} {kind} {}", kind.write(data));
+            }
+        }
+        Entry::Based { base, serial, .. } => println!("; {serial}: the file was read again, base {base}"),
+        Entry::Followed { base } => println!("; a version from a primary, base {base}"),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/updates.rs
@@ -0,0 +1,123 @@
+//! Steps of an update as an operator writes them.
+
+use crate::names::show;
+use crate::{Failed, Format};
+use lynxtally_dns::client::Client;
+use lynxtally_dns::codec::Question;
+use lynxtally_names::kind::{read_time, Word};
+use lynxtally_names::update::{Raw, Sense};
+use lynxtally_names::{Kind, Name};
+use rand::Rng;
+use std::path::Path;
+
+/// The steps of one update.
+#[derive(Debug, Default, PartialEq)]
+pub struct Steps {
+    /// What must hold.
+    pub needs: Vec<Raw>,
+    /// What is done.
+    pub edits: Vec<Raw>,
+}
+
+/// Splits a step into words; quotes keep spaces.
+fn words(text: &str) -> Result<Vec<Word<'_>>, String> {
+    let (mut all, mut rest) = (Vec::new(), text.trim_start());
+    while !rest.is_empty() {
+        let (word, after, quoted) = if let Some(inner) = rest.strip_prefix('"') {
+            let mut escaped = false;
+            let end = inner.find(|c| {
+                let end = c == '"' && !escaped;
+                escaped = c == '\\' && !escaped;
+                end
+            });
+            let end = end.ok_or("a quote that is not closed")?;
+            (&inner[..end], &inner[end + 1..], true)
+        } else {
+            let end = rest.find(char::is_whitespace).unwrap_or(rest.len());
+            (&rest[..end], &rest[end..], false)
+        };
+        all.push(Word { text: word.as_bytes(), quoted });
+        rest = after.trim_start();
+    }
+    Ok(all)
+}
+
+impl Steps {
+    /// Adds a step: `add NAME TTL KIND DATA`, `del NAME [KIND [DATA]]`, `need NAME [KIND [DATA]]` or `need-not NAME
+    /// [KIND]`.
+    pub fn add(&mut self, text: &str, zone: &Name) -> Result<(), String> {
+        let words = words(text)?;
+        let word = |n: usize| words.get(n).map(|word| String::from_utf8_lossy(word.text).into_owned());
+        let verb = word(0).ok_or("an empty step")?;
+        let name = words.get(1).ok_or("a name is missing")?;
+        let name = Name::parse(name.text, Some(zone)).map_err(|bad| bad.to_string())?;
+        let kind = |n: usize| {
+            word(n)
+                .map(|text| Kind::parse(&text).ok_or_else(|| format!("{text:?} is no kind of record")))
+                .transpose()
+        };
+        let data = |kind: Kind, from: usize| kind.read(&words[from..], Some(zone)).map_err(|bad| bad.what);
+        let raw = |kind: Kind, sense, ttl, data| Raw { name: name.clone(), kind, sense, ttl, data };
+        match verb.as_str() {
+            "add" => {
+                let ttl =
+                    words.get(2).and_then(|word| read_time(word.text)).ok_or("a time to live is missing")?;
+                let kind = kind(3)?.ok_or("a kind of record is missing")?;
+                self.edits.push(raw(kind, Sense::Own, ttl, data(kind, 4)?));
+            }
+            "del" => self.edits.push(match kind(2)? {
+                None => raw(Kind::ANY, Sense::Any, 0, Vec::new()),
+                Some(kind) if words.len() == 3 => raw(kind, Sense::Any, 0, Vec::new()),
+                Some(kind) => raw(kind, Sense::None, 0, data(kind, 3)?),
+            }),
+            "need" => self.needs.push(match kind(2)? {
+                None => raw(Kind::ANY, Sense::Any, 0, Vec::new()),
+                Some(kind) if words.len() == 3 => raw(kind, Sense::Any, 0, Vec::new()),
+                Some(kind) => raw(kind, Sense::Own, 0, data(kind, 3)?),
+            }),
+            "need-not" => self.needs.push(raw(kind(2)?.unwrap_or(Kind::ANY), Sense::None, 0, Vec::new())),
+            other => return Err(format!("{other:?} is no step; add, del, need and need-not are")),
+        }
+        Ok(())
+    }
+}
+
+/// Sends an update and says what became of it.
+pub fn send(
+    client: &Client,
+    zone: &Name,
+    lease: Option<u32>,
+    file: Option<&Path>,
+    steps: &[String],
+    format: Format,
+) -> Result<(), Failed> {
+    let mut all = Steps::default();
+    if let Some(path) = file {
+        let text = std::fs::read_to_string(path).map_err(|fault| format!("{}: {fault}", path.display()))?;
+        for (n, line) in text.lines().enumerate() {
+            if !line.trim().is_empty() && !line.trim_start().starts_with([';', '#']) {
+                all.add(line, zone).map_err(|what| format!("{}:{}: {what}", path.display(), n + 1))?;
+            }
+        }
+    }
+    for step in steps.join(" ").split(';').filter(|step| !step.trim().is_empty()) {
+        all.add(step, zone).map_err(|what| format!("step {:?}: {what}", step.trim()))?;
+    }
+    if all == Steps::default() {
+        return Err(Failed::Usage("no steps; give some, or --file".to_owned()));
+    }
+    let question = Question {
+        opcode: 5,
+        needs: &all.needs,
+        edits: &all.edits,
+        lease,
+        ..lynxtally_dns::client::query(rand::rng().random(), zone, Kind::SOA)
+    };
+    let answered = client.ask(&question).map_err(|fault| format!("{}: {fault}", client.server))?;
+    show(&answered, format);
+    if answered.code == 0 {
+        Ok(())
+    } else {
+        Err(Failed::Wrong)
+    }
+}
--- a/crates/core/host/src/lib.rs
+++ b/crates/core/host/src/lib.rs
@@ -258,6 +258,13 @@
         self.open.iter().flatten().map(|open| &open.work)
     }
 
+    /// The tasks whose answers are awaited where `is_own` knows.
+    pub fn awaited(&self, is_own: impl Fn(&F) -> bool) -> Vec<TaskId> {
+        let own = |open: &Open<W, F>| open.from.as_ref().is_some_and(&is_own);
+        let all = self.open.iter().enumerate();
+        all.filter(|(_, open)| open.as_ref().is_some_and(own)).map(|(at, _)| TaskId(at as u32)).collect()
+    }
+
     /// Where a task's answer is awaited, while it is.
     pub fn from(&self, task: TaskId) -> Option<&F> {
         self.inside(task)?.from.as_ref()
--- /dev/null
+++ b/crates/core/journal/tests/power.rs
@@ -0,0 +1,102 @@
+//! The power goes at every step of a journal's life, and octets flip: what was acknowledged is there.
+
+use lynxtally_journal::{Disk, Fault, Journal};
+use lynxtally_standins::disk::{MemoryDisk, LEFT};
+
+/// Adds entries, two a batch, with a snapshot on the way; tells how many were acknowledged. A snapshot holds
+/// the count of entries before it.
+fn work(disk: &mut MemoryDisk) -> Result<u64, (u64, Fault)> {
+    let mut acknowledged = 0;
+    let (mut journal, found) = Journal::open(disk, "z").map_err(|fault| (0, fault))?;
+    assert!(found.entries.is_empty() && found.snapshot.is_none());
+    for n in 0..14_u64 {
+        journal.add(format!("entry {}", 2 * n).as_bytes());
+        journal.add(&[b'x'; 100]);
+        journal.commit(disk).map_err(|fault| (acknowledged, fault))?;
+        acknowledged = 2 * n + 2;
+        if n % 4 == 3 {
+            let rotation = journal.rotate();
+            let octets = acknowledged.to_le_bytes();
+            Journal::write_snapshot(disk, "z", rotation, &octets).map_err(|fault| (acknowledged, fault))?;
+        }
+    }
+    Ok(acknowledged)
+}
+
+/// How many entries a journal holds, with those before its snapshot.
+fn held(disk: &mut MemoryDisk) -> (u64, Journal) {
+    let (journal, found) = Journal::open(disk, "z").expect("it opens");
+    assert!(found.damage.is_empty(), "{:?}", found.damage);
+    let before = found.snapshot.map_or(0, |octets| u64::from_le_bytes(octets.try_into().expect("eight")));
+    for (n, entry) in (before..).zip(&found.entries) {
+        let whole = if n % 2 == 0 { format!("entry {n}").into_bytes() } else { vec![b'x'; 100] };
+        assert_eq!(*entry, whole, "no half of one");
+    }
+    (before + found.entries.len() as u64, journal)
+}
+
+#[test]
+fn whatever_was_acknowledged_is_there_after_a_loss_of_power_at_any_step() {
+    let mut whole = MemoryDisk::default();
+    assert_eq!(work(&mut whole).expect("the power stays"), 28);
+    for step in 0..whole.taken {
+        for left in LEFT {
+            let mut disk = MemoryDisk::default();
+            disk.lose_power_after(step, left);
+            let (acknowledged, _) = work(&mut disk).expect_err("the power goes");
+            let mut disk = disk.restart();
+            let (count, mut journal) = held(&mut disk);
+            assert!(count >= acknowledged, "step {step} {left:?}: {count} of {acknowledged}");
+            assert!(count <= acknowledged + 2, "nothing is there that was not written");
+            // It goes on from there.
+            journal.add(if count % 2 == 0 { b"x" } else { b"y" });
+            journal.commit(&mut disk).expect("it goes on");
+            let (_, found) = Journal::open(&mut disk, "z").expect("it opens");
+            assert!(found.cut.is_none() && found.damage.is_empty(), "what was cut off is gone");
+        }
+    }
+}
+
+#[test]
+fn any_flipped_octet_is_found_and_named() {
+    let mut whole = MemoryDisk::default();
+    work(&mut whole).expect("the power stays");
+    let logs: Vec<String> =
+        whole.list().expect("it lists").into_iter().filter(|file| whole.length(file) > 8).collect();
+    assert!(logs.len() >= 3, "{logs:?}");
+    let (mut cuts, mut damages, mut by_older) = (0, 0, 0);
+    for file in &logs {
+        for at in 0..whole.length(file) {
+            let mut disk = whole.restart();
+            disk.flip(file, at);
+            let (_, found) = Journal::look(&mut disk, "z").expect("it looks");
+            let before = found.snapshot.as_ref().map_or(0, |octets| octets[0]);
+            let count = u64::from(before) + found.entries.len() as u64;
+            if !found.damage.is_empty() {
+                damages += 1;
+            } else if found.cut.is_some() {
+                cuts += 1;
+            } else {
+                // An older snapshot and its logs stand in, or the file is not needed any more.
+                assert_eq!(count, 28, "{file} at {at}: a flipped octet went by");
+                by_older += 1;
+            }
+        }
+    }
+    assert!(by_older > 0 && damages + cuts > 0, "{by_older} {damages} {cuts}");
+}
+
+#[test]
+fn an_entry_missing_in_the_middle_is_damage_and_not_an_end() {
+    let mut disk = MemoryDisk::default();
+    let (mut journal, _) = Journal::open(&mut disk, "z").expect("it opens");
+    for n in 0..5_u8 {
+        journal.add(&[n; 10]);
+        journal.commit(&mut disk).expect("it is written");
+    }
+    disk.flip("z.0.log", 8 + 26 + 20);
+    let (_, found) = Journal::look(&mut disk, "z").expect("it looks");
+    assert_eq!((found.entries.len(), found.cut), (1, None));
+    let said = found.damage[0].to_string();
+    assert_eq!(said, "z.0.log: at octet 34: an entry whose checksum is wrong, with more behind it");
+}
--- /dev/null
+++ b/crates/core/names/src/change.rs
@@ -0,0 +1,197 @@
+//! What changed from one version to another, as records; a bounded log of it for those who follow by changes
+//! (RFC 1995).
+
+use crate::kind::Kind;
+use crate::name::Name;
+use crate::serial::Serial;
+use crate::zone::{Node, Record, Set, Zone};
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::fmt;
+use std::sync::Arc;
+
+/// What leads from one version to the next. The SOA stands in both lists where it changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The version before.
+    pub from: Serial,
+    /// The version after.
+    pub to: Serial,
+    /// Records that are gone.
+    pub removed: Vec<Record>,
+    /// Records that are new.
+    pub added: Vec<Record>,
+}
+
+/// Why a change can't be applied to a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Misfit {
+    /// It leads on from another version.
+    Version(Serial, Serial),
+    /// A record that it removes is not there.
+    Missing(Record),
+    /// A record that it adds is there, or can't stand there.
+    Unfit(Record),
+}
+
+impl fmt::Display for Misfit {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Self::Version(own, from) => write!(f, "the version is {own}, the change leads on from {from}"),
+            Self::Missing(record) => write!(f, "not there to be removed: {record}"),
+            Self::Unfit(record) => write!(f, "can't be added: {record}"),
+        }
+    }
+}
+
+impl Change {
+    /// Whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        self.removed.is_empty() && self.added.is_empty()
+    }
+
+    /// The same change undone.
+    pub fn reversed(&self) -> Self {
+        Self { from: self.to, to: self.from, removed: self.added.clone(), added: self.removed.clone() }
+    }
+
+    /// How many records it names.
+    pub fn len(&self) -> usize {
+        self.removed.len() + self.added.len()
+    }
+
+    /// The names whose records change.
+    pub fn names(&self) -> impl Iterator<Item = &Name> {
+        self.removed.iter().chain(&self.added).map(|record| &record.name)
+    }
+
+    /// Makes the version after from the one before; all or nothing.
+    pub fn apply(&self, zone: &Zone) -> Result<Zone, Misfit> {
+        if zone.serial() != self.from {
+            return Err(Misfit::Version(zone.serial(), self.from));
+        }
+        let mut next = zone.clone();
+        for record in &self.removed {
+            if !next.remove(&record.name, record.kind, &record.data) {
+                return Err(Misfit::Missing(record.clone()));
+            }
+        }
+        for record in &self.added {
+            if next.add(record) != Ok(true) {
+                return Err(Misfit::Unfit(record.clone()));
+            }
+        }
+        Ok(next)
+    }
+}
+
+/// What leads from one version to the other. What they share is passed over, so the work grows with what
+/// differs.
+pub fn between(old: &Zone, new: &Zone) -> Change {
+    let mut change = Change { from: old.serial(), to: new.serial(), ..Change::default() };
+    nodes(Some(old.root()), Some(new.root()), old.apex(), &mut change);
+    change
+}
+
+/// The same at some names only.
+pub fn between_at<'a>(old: &Zone, new: &Zone, names: impl Iterator<Item = &'a Name>) -> Change {
+    let mut change = Change { from: old.serial(), to: new.serial(), ..Change::default() };
+    for name in names {
+        let sets = |zone: &Zone| zone.node(name.wire()).map_or(Vec::new(), |node| node.sets().to_vec());
+        sets_differ(&sets(old), &sets(new), name, &mut change);
+    }
+    change
+}
+
+fn nodes(old: Option<&Arc<Node>>, new: Option<&Arc<Node>>, name: &Name, change: &mut Change) {
+    if let (Some(old), Some(new)) = (old, new) {
+        if Arc::ptr_eq(old, new) {
+            return;
+        }
+    }
+    let sets = |node: Option<&'_ Arc<Node>>| node.map_or(&[][..], |node| node.sets()).to_vec();
+    sets_differ(&sets(old), &sets(new), name, change);
+    let none = Default::default();
+    let (a, b) = (old.map_or(&none, |node| node.below()), new.map_or(&none, |node| node.below()));
+    a.differ(b, &mut |old, new| {
+        let Some(label) = old.or(new).map(|node| node.label()) else { return };
+        if let Ok(below) = name.child(label) {
+            nodes(old, new, &below, change);
+        }
+    });
+}
+
+fn sets_differ(old: &[Set], new: &[Set], name: &Name, change: &mut Change) {
+    let find = |sets: &[Set], kind: Kind| sets.iter().find(|set| set.kind == kind).cloned();
+    let record =
+        |kind: Kind, ttl: u32, data: &[u8]| Record { name: name.clone(), kind, ttl, data: data.to_vec() };
+    for set in old {
+        let other = find(new, set.kind);
+        if other.as_ref() == Some(set) {
+            continue;
+        }
+        for data in set.records() {
+            let stays = other.as_ref().is_some_and(|other| other.ttl == set.ttl && other.has(data));
+            if !stays {
+                change.removed.push(record(set.kind, set.ttl, data));
+            }
+        }
+    }
+    for set in new {
+        let other = find(old, set.kind);
+        if other.as_ref() == Some(set) {
+            continue;
+        }
+        for data in set.records() {
+            let was = other.as_ref().is_some_and(|other| other.ttl == set.ttl && other.has(data));
+            if !was {
+                change.added.push(record(set.kind, set.ttl, data));
+            }
+        }
+    }
+}
+
+/// The last changes, from one version to the next without a gap, up to so many records.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    changes: VecDeque<Arc<Change>>,
+    records: usize,
+    most: usize,
+}
+
+impl History {
+    /// An empty log that keeps so many records at most.
+    pub fn new(most: usize) -> Self {
+        Self { most, ..Self::default() }
+    }
+
+    /// Adds the newest change. One that does not lead on from the last makes all before it useless.
+    pub fn push(&mut self, change: Arc<Change>) {
+        if self.changes.back().is_some_and(|last| last.to != change.from) {
+            self.clear();
+        }
+        self.records += change.len();
+        self.changes.push_back(change);
+        while self.records > self.most {
+            let Some(first) = self.changes.pop_front() else { break };
+            self.records -= first.len();
+        }
+    }
+
+    /// Forgets all.
+    pub fn clear(&mut self) {
+        self.changes.clear();
+        self.records = 0;
+    }
+
+    /// The changes that lead on from a version; none where the log does not reach back to it.
+    pub fn since(&self, serial: Serial) -> Option<Vec<Arc<Change>>> {
+        let at = self.changes.iter().position(|change| change.from == serial)?;
+        Some(self.changes.range(at..).cloned().collect())
+    }
+
+    /// All that is kept, the oldest first.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Change>> {
+        self.changes.iter()
+    }
+}
--- /dev/null
+++ b/crates/core/names/src/flood.rs
@@ -0,0 +1,125 @@
+//! Who asks how much, by prefix, in memory that does not grow with the number of askers: a count-min sketch
+//! that fades. Source: G. Cormode, S. Muthukrishnan, "An improved data stream summary: the count-min sketch and
+//! its applications" (2005), with conservative updates (C. Estan, G. Varghese, 2002).
+
+use lynxtally::{Instant, Span};
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
+use std::net::IpAddr;
+
+/// How many cells a prefix has; it is counted by the smallest.
+const ROWS: usize = 4;
+
+/// Counts by prefix that fade over a span.
+#[derive(Clone, Debug)]
+pub struct Sketch {
+    /// Each cell, and the turn in which it was last faded.
+    cells: Vec<(f32, u32)>,
+    width: usize,
+    key: u64,
+    start: Instant,
+    turn: Span,
+    total: f64,
+    total_turn: u32,
+}
+
+/// A count keeps this part of itself from one turn to the next; so it stands for about two turns.
+const KEPT: f32 = 0.5;
+
+/// The part of an address by which askers are counted: 24 bits of IPv4, 56 of IPv6.
+pub fn prefix(address: IpAddr) -> u64 {
+    match address {
+        IpAddr::V4(address) => u64::from(u32::from(address) >> 8) | 1 << 60,
+        IpAddr::V6(address) => match address.to_ipv4_mapped() {
+            Some(address) => prefix(address.into()),
+            None => (u128::from(address) >> 72) as u64,
+        },
+    }
+}
+
+impl Sketch {
+    /// A sketch with so many cells in each row (a power of two), whose counts stand for about two turns.
+    pub fn new(width: usize, turn: Span, key: u64, now: Instant) -> Self {
+        let width = width.next_power_of_two();
+        Self { cells: vec![(0.0, 0); width * ROWS], width, key, start: now, turn, total: 0.0, total_turn: 0 }
+    }
+
+    /// How many octets it takes.
+    pub fn octets(&self) -> usize {
+        self.cells.len() * std::mem::size_of::<(f32, u32)>()
+    }
+
+    fn turn(&self, now: Instant) -> u32 {
+        ((now - self.start) / self.turn) as u32
+    }
+
+    fn places(&self, prefix: u64) -> [usize; ROWS] {
+        let mut hasher = SipHasher13::new_with_keys(self.key, !self.key);
+        hasher.write_u64(prefix);
+        let hash = hasher.finish();
+        // Each row takes sixteen bits of the one hash, stirred for rows wider than that.
+        std::array::from_fn(|row| {
+            let stirred = hash.rotate_left(16 * row as u32).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 20;
+            row * self.width + (stirred as usize & (self.width - 1))
+        })
+    }
+
+    fn faded((count, turn): (f32, u32), now: u32) -> f32 {
+        match now.saturating_sub(turn) {
+            0 => count,
+            past => count * KEPT.powi(past.min(64) as i32),
+        }
+    }
+
+    /// Counts one more of a prefix; tells its count now, never less than the true one.
+    pub fn add(&mut self, now: Instant, prefix: u64) -> f64 {
+        let turn = self.turn(now);
+        let places = self.places(prefix);
+        let least = places.iter().map(|at| Self::faded(self.cells[*at], turn)).fold(f32::INFINITY, f32::min);
+        let count = least + 1.0;
+        for at in places {
+            self.cells[at] = (Self::faded(self.cells[at], turn).max(count), turn);
+        }
+        self.total = self.total_at(turn) + 1.0;
+        self.total_turn = turn;
+        f64::from(count)
+    }
+
+    /// The count of a prefix, never less than the true one.
+    pub fn count(&self, now: Instant, prefix: u64) -> f64 {
+        let turn = self.turn(now);
+        let faded = self.places(prefix).map(|at| Self::faded(self.cells[at], turn));
+        f64::from(faded.into_iter().fold(f32::INFINITY, f32::min))
+    }
+
+    fn total_at(&self, turn: u32) -> f64 {
+        self.total * f64::from(KEPT.powi(turn.saturating_sub(self.total_turn).min(64) as i32))
+    }
+
+    /// The count of all.
+    pub fn total(&self, now: Instant) -> f64 {
+        self.total_at(self.turn(now))
+    }
+}
+
+/// Whether a prefix asks for more than its share: then what it asks has the lowest utility, so that it is
+/// answered only with what the others leave.
+#[derive(Clone, Debug)]
+pub struct Shares {
+    sketch: Sketch,
+    share: f64,
+    least: f64,
+}
+
+impl Shares {
+    /// A prefix may have this share of all that is asked, and so much (in counts of the sketch) in any case.
+    pub fn new(sketch: Sketch, share: f64, least: f64) -> Self {
+        Self { sketch, share, least }
+    }
+
+    /// Counts one question; tells whether it is beyond the prefix's share.
+    pub fn beyond(&mut self, now: Instant, prefix: u64) -> bool {
+        let count = self.sketch.add(now, prefix);
+        count > self.least && count > self.sketch.total(now) * self.share
+    }
+}
--- /dev/null
+++ b/crates/core/names/src/name.rs
@@ -0,0 +1,322 @@
+//! Names as they are kept: wire form, absolute, lower case, at most 255 octets (RFC 1035 section 3.1, case by
+//! RFC 4343). A part of a name from some label to its end is a name in the same form.
+
+use serde::{Deserialize, Serialize};
+use std::cmp::Ordering;
+use std::fmt;
+
+/// The longest name, in octets.
+pub const NAME_MOST: usize = 255;
+/// The longest label, in octets.
+pub const LABEL_MOST: usize = 63;
+
+/// A name.
+#[derive(Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(try_from = "Vec<u8>", into = "Vec<u8>")]
+pub struct Name(Box<[u8]>);
+
+/// Why a text or some octets are no name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BadName {
+    /// Nothing at all.
+    Empty,
+    /// A label without an octet.
+    EmptyLabel,
+    /// A label over 63 octets.
+    LongLabel,
+    /// A name over 255 octets.
+    Long,
+    /// A backslash that begins no escape.
+    Escape,
+    /// A relative name where nothing says to what.
+    Relative,
+    /// Octets that end within a name.
+    Short,
+    /// A kind of label that is not known here, such as a pointer.
+    LabelKind,
+}
+
+impl fmt::Display for BadName {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            Self::Empty => "an empty name",
+            Self::EmptyLabel => "a name with an empty label",
+            Self::LongLabel => "a label of over 63 octets",
+            Self::Long => "a name of over 255 octets",
+            Self::Escape => "a backslash that begins no escape",
+            Self::Relative => "a relative name, and no origin is set",
+            Self::Short => "a name that breaks off",
+            Self::LabelKind => "a label of an unknown kind",
+        })
+    }
+}
+
+impl std::error::Error for BadName {}
+
+/// The labels of a name in wire form, the leftmost first, without the root's.
+pub fn labels(wire: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut rest = wire;
+    std::iter::from_fn(move || {
+        let (&length, after) = rest.split_first().filter(|(length, _)| **length > 0)?;
+        let (label, after) = after.split_at_checked(length as usize)?;
+        rest = after;
+        Some(label)
+    })
+}
+
+/// Where each label of a name begins, the leftmost first; room on the stack for any name.
+pub struct Starts {
+    at: [u8; 128],
+    count: usize,
+}
+
+impl Starts {
+    /// Those of a name in wire form.
+    pub fn of(wire: &[u8]) -> Self {
+        let (mut starts, mut at) = (Self { at: [0; 128], count: 0 }, 0);
+        while let Some(&length) = wire.get(at).filter(|length| **length > 0) {
+            starts.at[starts.count] = at as u8;
+            starts.count += 1;
+            at += 1 + length as usize;
+        }
+        starts
+    }
+
+    /// How many labels there are.
+    pub fn count(&self) -> usize {
+        self.count
+    }
+
+    /// Where the label with this number begins.
+    pub fn at(&self, label: usize) -> usize {
+        self.at[label] as usize
+    }
+}
+
+impl Name {
+    /// The root.
+    pub fn root() -> Self {
+        Self(Box::new([0]))
+    }
+
+    /// Takes octets in wire form that hold one whole name without a pointer and nothing else.
+    pub fn from_wire(wire: &[u8]) -> Result<Self, BadName> {
+        let (name, rest) = Self::split(wire)?;
+        if rest.is_empty() {
+            Ok(name)
+        } else {
+            Err(BadName::Short)
+        }
+    }
+
+    /// Takes the name at the start of some octets; gives what stands behind it too.
+    pub fn split(wire: &[u8]) -> Result<(Self, &[u8]), BadName> {
+        let mut at = 0;
+        loop {
+            let length = *wire.get(at).ok_or(BadName::Short)? as usize;
+            if length > LABEL_MOST {
+                return Err(BadName::LabelKind);
+            }
+            at += 1 + length;
+            if at > NAME_MOST {
+                return Err(BadName::Long);
+            }
+            if length == 0 {
+                break;
+            }
+        }
+        Ok((Self(wire[..at].to_ascii_lowercase().into()), &wire[at..]))
+    }
+
+    /// Reads a name as text (RFC 1035 section 5.1): `@` is the origin, a name without a last dot is relative to
+    /// it, `\.` and `\DDD` are octets.
+    pub fn parse(text: &[u8], origin: Option<&Name>) -> Result<Self, BadName> {
+        if text == b"@" {
+            return origin.cloned().ok_or(BadName::Relative);
+        }
+        if text == b"." {
+            return Ok(Self::root());
+        }
+        if text.is_empty() {
+            return Err(BadName::Empty);
+        }
+        let mut wire = Vec::with_capacity(text.len() + 2 + origin.map_or(0, |origin| origin.0.len()));
+        let (mut start, mut at) = (0, 0);
+        wire.push(0);
+        let close = |wire: &mut Vec<u8>, start: usize| match wire.len() - start - 1 {
+            0 => Err(BadName::EmptyLabel),
+            length if length > LABEL_MOST => Err(BadName::LongLabel),
+            length => {
+                wire[start] = length as u8;
+                Ok(())
+            }
+        };
+        while at < text.len() {
+            match text[at] {
+                b'.' => {
+                    close(&mut wire, start)?;
+                    if at + 1 == text.len() {
+                        wire.push(0);
+                        return Self::bounded(wire);
+                    }
+                    start = wire.len();
+                    wire.push(0);
+                    at += 1;
+                }
+                b'\\' => {
+                    let (octet, used) = escape(&text[at..]).ok_or(BadName::Escape)?;
+                    wire.push(octet.to_ascii_lowercase());
+                    at += used;
+                }
+                octet => {
+                    wire.push(octet.to_ascii_lowercase());
+                    at += 1;
+                }
+            }
+            if wire.len() > NAME_MOST {
+                return Err(BadName::Long);
+            }
+        }
+        close(&mut wire, start)?;
+        wire.extend_from_slice(&origin.ok_or(BadName::Relative)?.0);
+        Self::bounded(wire)
+    }
+
+    fn bounded(wire: Vec<u8>) -> Result<Self, BadName> {
+        if wire.len() > NAME_MOST {
+            return Err(BadName::Long);
+        }
+        Ok(Self(wire.into()))
+    }
+
+    /// The wire form.
+    pub fn wire(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// The labels, the leftmost first.
+    pub fn labels(&self) -> impl Iterator<Item = &[u8]> {
+        labels(&self.0)
+    }
+
+    /// Whether it is the other or stands below it.
+    pub fn is_within(&self, other: &Name) -> bool {
+        within(&self.0, &other.0)
+    }
+
+    /// The name above; the root has none.
+    pub fn parent(&self) -> Option<Name> {
+        let length = *self.0.first().filter(|length| **length > 0)? as usize;
+        Some(Self(self.0[1 + length..].into()))
+    }
+
+    /// The name one label below.
+    pub fn child(&self, label: &[u8]) -> Result<Name, BadName> {
+        if label.is_empty() || label.len() > LABEL_MOST {
+            return Err(if label.is_empty() { BadName::EmptyLabel } else { BadName::LongLabel });
+        }
+        let mut wire = Vec::with_capacity(1 + label.len() + self.0.len());
+        wire.push(label.len() as u8);
+        wire.extend(label.iter().map(u8::to_ascii_lowercase));
+        wire.extend_from_slice(&self.0);
+        Self::bounded(wire)
+    }
+}
+
+/// Whether one name in wire form is another or stands below it.
+pub fn within(name: &[u8], other: &[u8]) -> bool {
+    let Some(from) = name.len().checked_sub(other.len()) else { return false };
+    let mut at = 0;
+    while at < from {
+        at += 1 + name[at] as usize;
+    }
+    at == from && name[from..] == *other
+}
+
+/// An octet written as `\DDD` or `\X`, and how much text it takes.
+pub fn escape(text: &[u8]) -> Option<(u8, usize)> {
+    let next = *text.get(1)?;
+    if !next.is_ascii_digit() {
+        return Some((next, 2));
+    }
+    let digits = text.get(1..4).filter(|digits| digits.iter().all(u8::is_ascii_digit))?;
+    let value = digits.iter().fold(0_u32, |value, digit| value * 10 + u32::from(digit - b'0'));
+    Some((u8::try_from(value).ok()?, 4))
+}
+
+impl TryFrom<Vec<u8>> for Name {
+    type Error = String;
+    fn try_from(wire: Vec<u8>) -> Result<Self, String> {
+        Self::from_wire(&wire).map_err(|bad| bad.to_string())
+    }
+}
+
+impl From<Name> for Vec<u8> {
+    fn from(name: Name) -> Self {
+        name.0.into()
+    }
+}
+
+impl std::str::FromStr for Name {
+    type Err = BadName;
+    /// Reads an absolute name; the last dot may be left out.
+    fn from_str(text: &str) -> Result<Self, BadName> {
+        Self::parse(text.as_bytes(), Some(&Self::root()))
+    }
+}
+
+/// The canonical order (RFC 4034 section 6.1): by label from the root down.
+impl Ord for Name {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let (a, b) = (Starts::of(&self.0), Starts::of(&other.0));
+        let label = |wire: &'_ [u8], starts: &Starts, n: usize| {
+            let at = starts.at(starts.count() - 1 - n);
+            wire[at + 1..at + 1 + wire[at] as usize].to_vec()
+        };
+        for n in 0..a.count().min(b.count()) {
+            match label(&self.0, &a, n).cmp(&label(&other.0, &b, n)) {
+                Ordering::Equal => {}
+                unequal => return unequal,
+            }
+        }
+        a.count().cmp(&b.count())
+    }
+}
+
+impl PartialOrd for Name {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// Writes a name in wire form as text, escaped so that it reads back as the same.
+pub fn write_text(wire: &[u8], f: &mut impl fmt::Write) -> fmt::Result {
+    if wire == [0] {
+        return f.write_char('.');
+    }
+    for label in labels(wire) {
+        for &octet in label {
+            match octet {
+                b'.' | b'\\' | b'"' | b';' | b'(' | b')' | b'@' | b'$' => {
+                    write!(f, "\\{}", octet as char)?;
+                }
+                b'!'..=b'~' => f.write_char(octet as char)?,
+                _ => write!(f, "\\{octet:03}")?,
+            }
+        }
+        f.write_char('.')?;
+    }
+    Ok(())
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write_text(&self.0, f)
+    }
+}
+
+impl fmt::Debug for Name {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write_text(&self.0, f)
+    }
+}
--- /dev/null
+++ b/crates/core/names/src/tree.rs
@@ -0,0 +1,299 @@
+//! Names below one name: a hash array mapped trie by label whose parts are shared between versions. A change
+//! copies the parts on its way, or changes them in place where no other version has them, so that building is
+//! not paid for twice and a change costs the same in a zone of any size.
+//!
+//! Source: P. Bagwell, "Ideal Hash Trees" (2001); the sharing is path copying. Labels are spread by
+//! SipHash-1-3 under a fixed key: the same names always make the same tree, in the same order.
+
+use crate::zone::Node;
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
+use std::sync::Arc;
+
+/// Bits of the hash that one level uses, and how many levels there are before labels clash for good.
+const BITS: u32 = 5;
+const LEVELS: u32 = 60 / BITS;
+
+#[derive(Clone, Debug)]
+enum Slot {
+    Leaf(Arc<Node>),
+    Branch(Arc<Branch>),
+}
+
+/// One level: a bit for each slot that is there. On the last one the slots stand side by side and `map` is
+/// not used.
+#[derive(Clone, Debug, Default)]
+struct Branch {
+    map: u32,
+    slots: Vec<Slot>,
+}
+
+/// The names directly below one.
+#[derive(Clone, Debug, Default)]
+pub struct Children(Option<Arc<Branch>>);
+
+fn hash(label: &[u8]) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(0x6c79_6e78_7461_6c6c, 0x791b_3f5d_7a91_c2e4);
+    hasher.write(label);
+    hasher.finish()
+}
+
+fn bit(hash: u64, level: u32) -> u32 {
+    1 << ((hash >> (level * BITS)) & ((1 << BITS) - 1))
+}
+
+impl Branch {
+    fn place(&self, bit: u32) -> usize {
+        (self.map & (bit - 1)).count_ones() as usize
+    }
+
+    fn insert(&mut self, level: u32, hash_of: u64, node: Arc<Node>) {
+        if level == LEVELS {
+            let same = |slot: &Slot| matches!(slot, Slot::Leaf(leaf) if leaf.label() == node.label());
+            match self.slots.iter().position(same) {
+                Some(at) => self.slots[at] = Slot::Leaf(node),
+                None => self.slots.push(Slot::Leaf(node)),
+            }
+            return;
+        }
+        let bit = bit(hash_of, level);
+        let at = self.place(bit);
+        if self.map & bit == 0 {
+            self.map |= bit;
+            self.slots.reserve_exact(1);
+            self.slots.insert(at, Slot::Leaf(node));
+            return;
+        }
+        match &mut self.slots[at] {
+            Slot::Branch(branch) => Arc::make_mut(branch).insert(level + 1, hash_of, node),
+            Slot::Leaf(leaf) if leaf.label() == node.label() => *leaf = node,
+            Slot::Leaf(leaf) => {
+                let mut branch = Branch::default();
+                branch.insert(level + 1, hash(leaf.label()), leaf.clone());
+                branch.insert(level + 1, hash_of, node);
+                self.slots[at] = Slot::Branch(Arc::new(branch));
+            }
+        }
+    }
+
+    fn get_mut(&mut self, level: u32, hash_of: u64, label: &[u8]) -> Option<&mut Arc<Node>> {
+        let at = if level == LEVELS {
+            self.slots.iter().position(|slot| matches!(slot, Slot::Leaf(leaf) if leaf.label() == label))?
+        } else {
+            let bit = bit(hash_of, level);
+            if self.map & bit == 0 {
+                return None;
+            }
+            self.place(bit)
+        };
+        match &mut self.slots[at] {
+            Slot::Branch(branch) => Arc::make_mut(branch).get_mut(level + 1, hash_of, label),
+            Slot::Leaf(leaf) => (leaf.label() == label).then_some(leaf),
+        }
+    }
+
+    /// Takes a label out; tells whether nothing is left here.
+    fn remove(&mut self, level: u32, hash_of: u64, label: &[u8]) -> bool {
+        if level == LEVELS {
+            self.slots.retain(|slot| !matches!(slot, Slot::Leaf(leaf) if leaf.label() == label));
+            return self.slots.is_empty();
+        }
+        let bit = bit(hash_of, level);
+        if self.map & bit == 0 {
+            return false;
+        }
+        let at = self.place(bit);
+        let gone = match &mut self.slots[at] {
+            Slot::Leaf(leaf) => leaf.label() == label,
+            Slot::Branch(branch) => {
+                let below = Arc::make_mut(branch);
+                let empty = below.remove(level + 1, hash_of, label);
+                // One leaf needs no level of its own.
+                if let [Slot::Leaf(last)] = &below.slots[..] {
+                    let last = last.clone();
+                    self.slots[at] = Slot::Leaf(last);
+                }
+                empty
+            }
+        };
+        if gone {
+            self.slots.remove(at);
+            self.map &= !bit;
+        }
+        self.slots.is_empty()
+    }
+
+    fn each<'a>(&'a self, visit: &mut impl FnMut(&'a Arc<Node>)) {
+        for slot in &self.slots {
+            match slot {
+                Slot::Leaf(leaf) => visit(leaf),
+                Slot::Branch(branch) => branch.each(visit),
+            }
+        }
+    }
+}
+
+impl Children {
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_none()
+    }
+
+    /// The node with this label, in lower case.
+    pub fn get(&self, label: &[u8]) -> Option<&Arc<Node>> {
+        let (hash, mut level) = (hash(label), 0);
+        let mut branch = self.0.as_ref()?;
+        while level < LEVELS {
+            let bit = bit(hash, level);
+            if branch.map & bit == 0 {
+                return None;
+            }
+            match &branch.slots[branch.place(bit)] {
+                Slot::Branch(below) => branch = below,
+                Slot::Leaf(leaf) => return (leaf.label() == label).then_some(leaf),
+            }
+            level += 1;
+        }
+        branch.slots.iter().find_map(|slot| match slot {
+            Slot::Leaf(leaf) if leaf.label() == label => Some(leaf),
+            _ => None,
+        })
+    }
+
+    /// The same, to be changed: what other versions share is copied.
+    pub fn get_mut(&mut self, label: &[u8]) -> Option<&mut Arc<Node>> {
+        // Looked for first: nothing is copied on the way to what is not there.
+        self.get(label)?;
+        Arc::make_mut(self.0.as_mut()?).get_mut(0, hash(label), label)
+    }
+
+    /// Puts a node in, in place of one with the same label.
+    pub fn insert(&mut self, node: Arc<Node>) {
+        let hash = hash(node.label());
+        Arc::make_mut(self.0.get_or_insert_with(Arc::default)).insert(0, hash, node);
+    }
+
+    /// Takes the node with this label out.
+    pub fn remove(&mut self, label: &[u8]) {
+        if self.get(label).is_some() {
+            let empty =
+                self.0.as_mut().is_some_and(|branch| Arc::make_mut(branch).remove(0, hash(label), label));
+            if empty {
+                self.0 = None;
+            }
+        }
+    }
+
+    /// Visits all nodes, in an order that the labels alone decide.
+    pub fn each<'a>(&'a self, mut visit: impl FnMut(&'a Arc<Node>)) {
+        if let Some(branch) = &self.0 {
+            branch.each(&mut visit);
+        }
+    }
+
+    /// Visits the nodes in which two versions differ; what they share is passed over without a look. Where a
+    /// label is on one side only, the other is none.
+    pub fn differ<'a>(
+        &'a self,
+        other: &'a Self,
+        visit: &mut impl FnMut(Option<&'a Arc<Node>>, Option<&'a Arc<Node>>),
+    ) {
+        match (&self.0, &other.0) {
+            (Some(a), Some(b)) => differ(a, b, 0, visit),
+            (Some(a), None) => a.each(&mut |node| visit(Some(node), None)),
+            (None, Some(b)) => b.each(&mut |node| visit(None, Some(node))),
+            (None, None) => {}
+        }
+    }
+}
+
+/// Visits nodes one at a time, so that a long way can be interrupted; holds on to the version.
+#[derive(Clone, Debug, Default)]
+pub struct Cursor(Vec<(Arc<Branch>, usize)>);
+
+impl Cursor {
+    /// Before the first of some nodes.
+    pub fn of(children: &Children) -> Self {
+        Self(children.0.iter().map(|branch| (branch.clone(), 0)).collect())
+    }
+}
+
+impl Iterator for Cursor {
+    type Item = Arc<Node>;
+
+    fn next(&mut self) -> Option<Arc<Node>> {
+        loop {
+            let (branch, at) = self.0.last_mut()?;
+            let Some(slot) = branch.slots.get(*at).cloned() else {
+                self.0.pop();
+                continue;
+            };
+            *at += 1;
+            match slot {
+                Slot::Leaf(leaf) => return Some(leaf),
+                Slot::Branch(below) => self.0.push((below, 0)),
+            }
+        }
+    }
+}
+
+fn differ<'a>(
+    a: &'a Arc<Branch>,
+    b: &'a Arc<Branch>,
+    level: u32,
+    visit: &mut impl FnMut(Option<&'a Arc<Node>>, Option<&'a Arc<Node>>),
+) {
+    if Arc::ptr_eq(a, b) {
+        return;
+    }
+    if level == LEVELS {
+        return differ_leaves(&leaves(a), &leaves(b), visit);
+    }
+    let mut bits = a.map | b.map;
+    while bits != 0 {
+        let bit = bits & bits.wrapping_neg();
+        bits &= bits - 1;
+        let at = |branch: &'a Branch| (branch.map & bit != 0).then(|| &branch.slots[branch.place(bit)]);
+        match (at(a), at(b)) {
+            (Some(Slot::Branch(a)), Some(Slot::Branch(b))) => differ(a, b, level + 1, visit),
+            (Some(Slot::Leaf(a)), Some(Slot::Leaf(b))) if a.label() == b.label() => {
+                if !Arc::ptr_eq(a, b) {
+                    visit(Some(a), Some(b));
+                }
+            }
+            (a, b) => differ_leaves(&under(a), &under(b), visit),
+        }
+    }
+}
+
+fn leaves(branch: &Branch) -> Vec<&Arc<Node>> {
+    let mut all = Vec::new();
+    branch.each(&mut |node| all.push(node));
+    all
+}
+
+fn under(slot: Option<&Slot>) -> Vec<&Arc<Node>> {
+    match slot {
+        Some(Slot::Leaf(leaf)) => vec![leaf],
+        Some(Slot::Branch(branch)) => leaves(branch),
+        None => Vec::new(),
+    }
+}
+
+fn differ_leaves<'a>(
+    a: &[&'a Arc<Node>],
+    b: &[&'a Arc<Node>],
+    visit: &mut impl FnMut(Option<&'a Arc<Node>>, Option<&'a Arc<Node>>),
+) {
+    for &one in a {
+        let other = b.iter().find(|other| other.label() == one.label()).copied();
+        if other.is_none_or(|other| !Arc::ptr_eq(one, other)) {
+            visit(Some(one), other);
+        }
+    }
+    for &other in b {
+        if !a.iter().any(|one| one.label() == other.label()) {
+            visit(None, Some(other));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/names/src/zone.rs
@@ -0,0 +1,509 @@
+//! A zone is an immutable version. A change makes the next one, which shares with it all that did not change.
+
+use crate::kind::Kind;
+use crate::name::{labels, within, Name, Starts};
+use crate::serial::Serial;
+use crate::tree::{Children, Cursor};
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use std::fmt;
+use std::sync::Arc;
+
+/// One record.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Record {
+    /// Its owner.
+    pub name: Name,
+    /// Its kind.
+    pub kind: Kind,
+    /// For how long it may be kept, in seconds.
+    pub ttl: u32,
+    /// Its data: wire form without pointers, names in lower case.
+    pub data: Vec<u8>,
+}
+
+impl fmt::Display for Record {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{} {} IN {} {}", self.name, self.ttl, self.kind, self.kind.write(&self.data))
+    }
+}
+
+impl fmt::Debug for Record {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// All records of one owner and kind; they have one time to live (RFC 2181 section 5.2).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Set {
+    /// The kind.
+    pub kind: Kind,
+    /// The time to live, in seconds.
+    pub ttl: u32,
+    /// Each record's data behind its length in two octets, in ascending order.
+    data: Arc<[u8]>,
+}
+
+/// The data of the records in packed form.
+pub fn unpack(packed: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut rest = packed;
+    std::iter::from_fn(move || {
+        let (length, after) = rest.split_first_chunk::<2>()?;
+        let (data, after) = after.split_at_checked(u16::from_be_bytes(*length) as usize)?;
+        rest = after;
+        Some(data)
+    })
+}
+
+/// Data of records in packed form, in the order given.
+pub fn pack<'a>(all: impl IntoIterator<Item = &'a [u8]>) -> Vec<u8> {
+    let mut packed = Vec::new();
+    for data in all {
+        packed.extend((data.len() as u16).to_be_bytes());
+        packed.extend_from_slice(data);
+    }
+    packed
+}
+
+impl Set {
+    /// The data of its records.
+    pub fn records(&self) -> impl Iterator<Item = &[u8]> {
+        unpack(&self.data)
+    }
+
+    /// The same in one piece.
+    pub fn packed(&self) -> &[u8] {
+        &self.data
+    }
+
+    /// How many records there are.
+    pub fn count(&self) -> usize {
+        self.records().count()
+    }
+
+    /// Whether there is a record with this data.
+    pub fn has(&self, data: &[u8]) -> bool {
+        self.records().any(|own| own == data)
+    }
+
+    fn with(&self, data: &[u8]) -> Arc<[u8]> {
+        let mut all: Vec<&[u8]> = self.records().collect();
+        if let Err(at) = all.binary_search(&data) {
+            all.insert(at, data);
+        }
+        pack(all).into()
+    }
+
+    fn without(&self, data: &[u8]) -> Arc<[u8]> {
+        pack(self.records().filter(|own| *own != data)).into()
+    }
+}
+
+/// What stands at one name.
+#[derive(Clone, Debug)]
+pub struct Node {
+    label: Box<[u8]>,
+    sets: SmallVec<[Set; 1]>,
+    below: Children,
+}
+
+impl Node {
+    fn new(label: &[u8]) -> Self {
+        Self { label: label.into(), sets: SmallVec::new(), below: Children::default() }
+    }
+
+    /// The leftmost label of its name.
+    pub fn label(&self) -> &[u8] {
+        &self.label
+    }
+
+    /// Its records, by kind.
+    pub fn sets(&self) -> &[Set] {
+        &self.sets
+    }
+
+    /// Those of one kind.
+    pub fn set(&self, kind: Kind) -> Option<&Set> {
+        self.sets.iter().find(|set| set.kind == kind)
+    }
+
+    /// The names directly below.
+    pub fn below(&self) -> &Children {
+        &self.below
+    }
+
+    fn is_hollow(&self) -> bool {
+        self.sets.is_empty() && self.below.is_empty()
+    }
+}
+
+/// What a zone says of itself (RFC 1035 section 3.3.13); times in seconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Soa {
+    /// The version.
+    pub serial: Serial,
+    /// How often a secondary asks whether there is a newer one.
+    pub refresh: u32,
+    /// How soon it asks again after a failure.
+    pub retry: u32,
+    /// After how long without an answer it stops serving.
+    pub expire: u32,
+    /// For how long it may be kept that something is not there (RFC 2308).
+    pub minimum: u32,
+}
+
+impl Soa {
+    /// Reads it from a record's data.
+    pub fn of(data: &[u8]) -> Option<Self> {
+        let tail = data.last_chunk::<20>()?;
+        let part = |n: usize| u32::from_be_bytes([tail[n], tail[n + 1], tail[n + 2], tail[n + 3]]);
+        Some(Self {
+            serial: Serial(part(0)),
+            refresh: part(4),
+            retry: part(8),
+            expire: part(12),
+            minimum: part(16),
+        })
+    }
+}
+
+/// The data of a zone's SOA with another serial.
+pub fn with_serial(data: &[u8], serial: Serial) -> Vec<u8> {
+    let mut data = data.to_vec();
+    if let Some(at) = data.len().checked_sub(20) {
+        data[at..at + 4].copy_from_slice(&serial.0.to_be_bytes());
+    }
+    data
+}
+
+/// Why a record can't stand in a zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Unfit {
+    /// Its owner is not in the zone.
+    OutOfZone,
+    /// The kind is for messages only.
+    Meta(Kind),
+    /// An alias beside other data, or other data beside an alias (RFC 1034 section 3.6.2).
+    Alias(Kind),
+    /// A second SOA, or one elsewhere than at the apex.
+    Soa,
+    /// A second alias at one name.
+    TwoAliases(Kind),
+}
+
+impl fmt::Display for Unfit {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Self::OutOfZone => f.write_str("the owner is out of the zone"),
+            Self::Meta(kind) => write!(f, "{kind} can't stand in a zone"),
+            Self::Alias(kind) => write!(f, "{kind} beside other records of the name"),
+            Self::Soa => f.write_str("a second SOA, or one that is not at the apex"),
+            Self::TwoAliases(kind) => write!(f, "a second {kind} at one name"),
+        }
+    }
+}
+
+/// One version of a zone.
+#[derive(Clone, Debug)]
+pub struct Zone {
+    apex: Name,
+    apex_labels: usize,
+    root: Arc<Node>,
+    records: usize,
+    names: usize,
+}
+
+type Path<'a> = SmallVec<[&'a [u8]; 8]>;
+
+impl Zone {
+    /// A zone without a record.
+    pub fn new(apex: Name) -> Self {
+        let apex_labels = apex.labels().count();
+        let root = Arc::new(Node::new(apex.labels().next().unwrap_or(&[])));
+        Self { apex, apex_labels, root, records: 0, names: 0 }
+    }
+
+    /// Its topmost name.
+    pub fn apex(&self) -> &Name {
+        &self.apex
+    }
+
+    /// The node at the apex.
+    pub fn root(&self) -> &Arc<Node> {
+        &self.root
+    }
+
+    /// How many records there are.
+    pub fn records(&self) -> usize {
+        self.records
+    }
+
+    /// How many names have records.
+    pub fn names(&self) -> usize {
+        self.names
+    }
+
+    /// Whether two are the very same version, part by part shared.
+    pub fn is_same(&self, other: &Zone) -> bool {
+        Arc::ptr_eq(&self.root, &other.root)
+    }
+
+    /// The set with its SOA, once it has one.
+    pub fn soa_set(&self) -> Option<&Set> {
+        self.root.set(Kind::SOA)
+    }
+
+    /// What it says of itself.
+    pub fn soa(&self) -> Option<Soa> {
+        Soa::of(self.soa_set()?.records().next()?)
+    }
+
+    /// Its number; 0 before it has a SOA.
+    pub fn serial(&self) -> Serial {
+        self.soa().map_or(Serial(0), |soa| soa.serial)
+    }
+
+    /// The SOA as a record.
+    pub fn soa_record(&self) -> Option<Record> {
+        let set = self.soa_set()?;
+        let data = set.records().next()?.to_vec();
+        Some(Record { name: self.apex.clone(), kind: Kind::SOA, ttl: set.ttl, data })
+    }
+
+    /// The labels from below the apex down; none where the name is not in the zone.
+    fn path<'a>(&self, name: &'a [u8]) -> Option<Path<'a>> {
+        if !within(name, self.apex.wire()) {
+            return None;
+        }
+        let starts = Starts::of(name);
+        let label = |n: usize| &name[starts.at(n) + 1..][..name[starts.at(n)] as usize];
+        Some((0..starts.count() - self.apex_labels).rev().map(label).collect())
+    }
+
+    /// The node of a name in wire form and lower case, also where it only has others below it.
+    pub fn node(&self, name: &[u8]) -> Option<&Node> {
+        let mut node = &*self.root;
+        for label in self.path(name)? {
+            node = node.below.get(label)?;
+        }
+        Some(node)
+    }
+
+    /// One set.
+    pub fn set(&self, name: &Name, kind: Kind) -> Option<&Set> {
+        self.node(name.wire())?.set(kind)
+    }
+
+    /// Changes the sets of a name; `make` makes the name where it is not there.
+    fn edit<R>(
+        &mut self,
+        name: &Name,
+        make: bool,
+        change: impl FnOnce(&mut SmallVec<[Set; 1]>) -> R,
+    ) -> Option<R> {
+        if !make {
+            self.node(name.wire())?;
+        }
+        let path = self.path(name.wire())?;
+        let count = |node: &Node| node.sets.iter().map(Set::count).sum::<usize>();
+        let (mut before, mut after) = ((0, 0), (0, 0));
+        let changed = edit(
+            &mut self.root,
+            &path,
+            &mut |node| {
+                before = (count(node), usize::from(!node.sets.is_empty()));
+            },
+            |node| {
+                let result = change(&mut node.sets);
+                after = (count(node), usize::from(!node.sets.is_empty()));
+                result
+            },
+        );
+        self.records = self.records + after.0 - before.0;
+        self.names = self.names + after.1 - before.1;
+        Some(changed)
+    }
+
+    /// Whether a record may be added, by the rules of one zone.
+    fn fits(&self, record: &Record) -> Result<(), Unfit> {
+        let kind = record.kind;
+        if !record.name.is_within(&self.apex) {
+            return Err(Unfit::OutOfZone);
+        }
+        if kind.is_meta() {
+            return Err(Unfit::Meta(kind));
+        }
+        let node = self.node(record.name.wire());
+        if kind == Kind::SOA
+            && (record.name != self.apex || node.is_some_and(|node| node.set(kind).is_some()))
+        {
+            return Err(Unfit::Soa);
+        }
+        let Some(node) = node else { return Ok(()) };
+        let other = |set: &Set| set.kind != kind && (kind == Kind::CNAME || set.kind == Kind::CNAME);
+        if let Some(set) = node.sets.iter().find(|set| other(set)) {
+            return Err(Unfit::Alias(if kind == Kind::CNAME { kind } else { set.kind }));
+        }
+        let alias = kind == Kind::CNAME || kind == Kind::DNAME;
+        if alias && node.set(kind).is_some_and(|set| !set.has(&record.data)) {
+            return Err(Unfit::TwoAliases(kind));
+        }
+        Ok(())
+    }
+
+    /// Adds a record. One that is there already is no second one; the set takes over its time to live. Tells
+    /// whether anything changed.
+    pub fn add(&mut self, record: &Record) -> Result<bool, Unfit> {
+        self.fits(record)?;
+        let Record { name, kind, ttl, data } = record;
+        if self.set(name, *kind).is_some_and(|set| set.ttl == *ttl && set.has(data)) {
+            return Ok(false);
+        }
+        self.edit(name, true, |sets| match sets.iter_mut().find(|set| set.kind == *kind) {
+            Some(set) => {
+                set.data = set.with(data);
+                set.ttl = *ttl;
+            }
+            None => {
+                let at = sets.partition_point(|set| set.kind < *kind);
+                sets.insert(at, Set { kind: *kind, ttl: *ttl, data: pack([&data[..]]).into() });
+            }
+        });
+        Ok(true)
+    }
+
+    /// Takes a record out; tells whether it was there.
+    pub fn remove(&mut self, name: &Name, kind: Kind, data: &[u8]) -> bool {
+        if !self.set(name, kind).is_some_and(|set| set.has(data)) {
+            return false;
+        }
+        self.edit(name, false, |sets| {
+            if let Some(set) = sets.iter_mut().find(|set| set.kind == kind) {
+                set.data = set.without(data);
+            }
+            sets.retain(|set| !set.data.is_empty());
+        });
+        true
+    }
+
+    /// Takes all of a kind out; tells whether there was any.
+    pub fn remove_set(&mut self, name: &Name, kind: Kind) -> bool {
+        self.set(name, kind).is_some() && {
+            self.edit(name, false, |sets| sets.retain(|set| set.kind != kind));
+            true
+        }
+    }
+
+    /// The same version under another number.
+    pub fn renumber(&mut self, serial: Serial) {
+        self.edit(&self.apex.clone(), false, |sets| {
+            if let Some(set) = sets.iter_mut().find(|set| set.kind == Kind::SOA) {
+                let data: Vec<Vec<u8>> = set.records().map(|data| with_serial(data, serial)).collect();
+                set.data = pack(data.iter().map(|data| &data[..])).into();
+            }
+        });
+    }
+
+    /// Visits each name with its sets; the apex first, then in an order that the names alone decide.
+    pub fn each<'a>(&'a self, mut visit: impl FnMut(&Name, &'a [Set])) {
+        each(&self.root, &self.apex, &mut visit);
+    }
+
+    /// The same one at a time, for long ways; the version stays as it is for as long as the walk goes on.
+    pub fn walk(&self) -> Walk {
+        Walk {
+            first: Some(self.root.clone()),
+            above: vec![(self.apex.clone(), Cursor::of(&self.root.below))],
+        }
+    }
+
+    /// All records: the SOA first, then the others (RFC 5936 section 2.2).
+    pub fn all(&self) -> Vec<Record> {
+        let mut all: Vec<Record> = self.soa_record().into_iter().collect();
+        self.each(|name, sets| {
+            for set in sets.iter().filter(|set| set.kind != Kind::SOA) {
+                all.extend(set.records().map(|data| Record {
+                    name: name.clone(),
+                    kind: set.kind,
+                    ttl: set.ttl,
+                    data: data.to_vec(),
+                }));
+            }
+        });
+        all
+    }
+}
+
+/// Visits all names of a version, the apex first.
+#[derive(Clone, Debug)]
+pub struct Walk {
+    first: Option<Arc<Node>>,
+    above: Vec<(Name, Cursor)>,
+}
+
+impl Iterator for Walk {
+    type Item = (Name, Arc<Node>);
+
+    fn next(&mut self) -> Option<(Name, Arc<Node>)> {
+        if let Some(root) = self.first.take() {
+            return Some((self.above[0].0.clone(), root));
+        }
+        loop {
+            let (name, cursor) = self.above.last_mut()?;
+            let Some(node) = cursor.next() else {
+                self.above.pop();
+                continue;
+            };
+            // A node's label and all above it made a name once.
+            let Ok(below) = name.child(node.label()) else { continue };
+            if !node.below.is_empty() {
+                self.above.push((below.clone(), Cursor::of(&node.below)));
+            }
+            return Some((below, node));
+        }
+    }
+}
+
+fn edit<R>(
+    node: &mut Arc<Node>,
+    path: &[&[u8]],
+    before: &mut dyn FnMut(&Node),
+    change: impl FnOnce(&mut Node) -> R,
+) -> R {
+    let own = Arc::make_mut(node);
+    let Some((label, rest)) = path.split_first() else {
+        before(own);
+        return change(own);
+    };
+    if own.below.get(label).is_none() {
+        own.below.insert(Arc::new(Node::new(label)));
+    }
+    let child = own.below.get_mut(label).expect("just looked at");
+    let changed = edit(child, rest, before, change);
+    if child.is_hollow() {
+        own.below.remove(label);
+    }
+    changed
+}
+
+fn each<'a>(node: &'a Node, name: &Name, visit: &mut impl FnMut(&Name, &'a [Set])) {
+    if !node.sets.is_empty() {
+        visit(name, &node.sets);
+    }
+    node.below.each(|child| {
+        // A node's label and all above it made a name once.
+        if let Ok(below) = name.child(child.label()) {
+            each_dyn(child, &below, visit);
+        }
+    });
+}
+
+fn each_dyn<'a>(node: &'a Node, name: &Name, visit: &mut dyn FnMut(&Name, &'a [Set])) {
+    each(node, name, &mut |name: &Name, sets: &'a [Set]| visit(name, sets));
+}
+
+/// Whether a name in wire form begins with the wildcard's label.
+pub fn is_wildcard(name: &[u8]) -> bool {
+    labels(name).next() == Some(b"*")
+}
--- /dev/null
+++ b/crates/fronts/dns/src/tsig.rs
@@ -0,0 +1,397 @@
+//! Signed messages (RFC 8945), with HMAC from a library.
+
+use hmac::{Hmac, KeyInit, Mac};
+use lynxtally_names::Name;
+use sha2::{Sha256, Sha384, Sha512};
+use std::fmt;
+use std::sync::Arc;
+
+/// How a key signs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Algorithm {
+    /// HMAC with SHA-256.
+    Sha256,
+    /// HMAC with SHA-384.
+    Sha384,
+    /// HMAC with SHA-512.
+    Sha512,
+}
+
+impl Algorithm {
+    /// Its name on the wire, as text.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::Sha256 => "hmac-sha256",
+            Self::Sha384 => "hmac-sha384",
+            Self::Sha512 => "hmac-sha512",
+        }
+    }
+
+    /// By its name.
+    pub fn parse(text: &str) -> Option<Self> {
+        [Self::Sha256, Self::Sha384, Self::Sha512]
+            .into_iter()
+            .find(|algorithm| text.trim_end_matches('.').eq_ignore_ascii_case(algorithm.text()))
+    }
+
+    fn name(self) -> Name {
+        self.text().parse().expect("a name")
+    }
+
+    /// How long a whole signature is.
+    pub fn length(self) -> usize {
+        match self {
+            Self::Sha256 => 32,
+            Self::Sha384 => 48,
+            Self::Sha512 => 64,
+        }
+    }
+}
+
+/// A key. During a change of keys two may have one name.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Key {
+    /// Its name.
+    pub name: Name,
+    /// How it signs.
+    pub algorithm: Algorithm,
+    /// The secret.
+    pub secret: Vec<u8>,
+}
+
+impl fmt::Debug for Key {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{} {}", self.algorithm.text(), self.name)
+    }
+}
+
+macro_rules! with_mac {
+    ($key:expr, $mac:ident => $body:expr) => {
+        match $key.algorithm {
+            Algorithm::Sha256 => {
+                let mut $mac = Hmac::<Sha256>::new_from_slice(&$key.secret).expect("any length");
+                $body
+            }
+            Algorithm::Sha384 => {
+                let mut $mac = Hmac::<Sha384>::new_from_slice(&$key.secret).expect("any length");
+                $body
+            }
+            Algorithm::Sha512 => {
+                let mut $mac = Hmac::<Sha512>::new_from_slice(&$key.secret).expect("any length");
+                $body
+            }
+        }
+    };
+}
+
+impl Key {
+    fn sign(&self, parts: &[&[u8]]) -> Vec<u8> {
+        with_mac!(self, mac => {
+            parts.iter().for_each(|part| mac.update(part));
+            mac.finalize().into_bytes().to_vec()
+        })
+    }
+
+    /// Whether a signature, maybe shortened, is this key's; compared in constant time.
+    fn signed(&self, parts: &[&[u8]], signature: &[u8]) -> bool {
+        with_mac!(self, mac => {
+            parts.iter().for_each(|part| mac.update(part));
+            mac.verify_truncated_left(signature).is_ok()
+        })
+    }
+
+    /// Reads a line of a key file: algorithm, name, secret in base64.
+    pub fn parse(line: &str) -> Result<Self, &'static str> {
+        let mut words = line.split_whitespace();
+        let (Some(algorithm), Some(name), Some(secret), None) =
+            (words.next(), words.next(), words.next(), words.next())
+        else {
+            return Err("a key is written as ALGORITHM NAME SECRET");
+        };
+        let algorithm =
+            Algorithm::parse(algorithm).ok_or("the algorithm is not hmac-sha256, -sha384 or -sha512")?;
+        let name = name.parse().map_err(|_| "the name is no name")?;
+        let secret =
+            data_encoding::BASE64.decode(secret.as_bytes()).map_err(|_| "the secret is no base64")?;
+        if secret.len() < algorithm.length() / 2 {
+            return Err("the secret is shorter than half of the signature");
+        }
+        Ok(Self { name, algorithm, secret })
+    }
+}
+
+/// The signature of a message, as it was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Signed {
+    /// The key's name.
+    pub key: Name,
+    /// The algorithm's name.
+    pub algorithm: Name,
+    /// When it was signed, in Unix seconds.
+    pub time: u64,
+    /// How far clocks may differ.
+    pub fudge: u16,
+    /// The signature.
+    pub mac: Vec<u8>,
+    /// The number that the message had when it was signed.
+    pub id: u16,
+    /// The error that an answer tells.
+    pub error: u16,
+    /// With it: the server's time.
+    pub other: Vec<u8>,
+    /// Where the record begins in the message.
+    pub at: usize,
+}
+
+/// An error in a signature, by its code (RFC 8945 section 3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BadSignature {
+    /// It is not the key's.
+    Signature,
+    /// The key is not known.
+    Key,
+    /// The clocks differ by more than allowed.
+    Time,
+    /// It was shortened too much.
+    Short,
+}
+
+impl BadSignature {
+    /// Its code.
+    pub fn code(self) -> u16 {
+        match self {
+            Self::Signature => 16,
+            Self::Key => 17,
+            Self::Time => 18,
+            Self::Short => 22,
+        }
+    }
+}
+
+impl fmt::Display for BadSignature {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            Self::Signature => "the signature is not the key's (BADSIG)",
+            Self::Key => "the key is not known (BADKEY)",
+            Self::Time => "the clocks differ by more than is allowed (BADTIME)",
+            Self::Short => "the signature was shortened too much (BADTRUNC)",
+        })
+    }
+}
+
+/// How far clocks may differ, in seconds (RFC 8945 section 10).
+pub const FUDGE: u16 = 300;
+/// The shortest signature taken (RFC 8945 section 5.2.2.1): half, and ten octets at least.
+const SHORTEST: usize = 10;
+
+impl Signed {
+    /// Reads the data of a TSIG record that begins at this place of its message.
+    pub fn read(key: Name, data: &[u8], at: usize) -> Option<Self> {
+        let (algorithm, rest) = Name::split(data).ok()?;
+        let (head, rest) = rest.split_first_chunk::<10>()?;
+        let time = head[..6].iter().fold(0, |time, octet| time << 8 | u64::from(*octet));
+        let pair = |n: usize| u16::from_be_bytes([head[n], head[n + 1]]);
+        let (mac, rest) = rest.split_at_checked(usize::from(pair(8)))?;
+        let (tail, other) = rest.split_first_chunk::<6>()?;
+        let tail_pair = |n: usize| u16::from_be_bytes([tail[n], tail[n + 1]]);
+        (other.len() == usize::from(tail_pair(4))).then(|| Self {
+            key,
+            algorithm,
+            time,
+            fudge: pair(6),
+            mac: mac.to_vec(),
+            id: tail_pair(0),
+            error: tail_pair(2),
+            other: other.to_vec(),
+            at,
+        })
+    }
+
+    fn variables(&self) -> Vec<u8> {
+        let mut out = self.key.wire().to_vec();
+        out.extend([0, 255, 0, 0, 0, 0]);
+        out.extend_from_slice(self.algorithm.wire());
+        out.extend(timers(self.time, self.fudge));
+        out.extend(self.error.to_be_bytes());
+        out.extend((self.other.len() as u16).to_be_bytes());
+        out.extend_from_slice(&self.other);
+        out
+    }
+}
+
+fn timers(time: u64, fudge: u16) -> [u8; 8] {
+    let mut out = [0; 8];
+    out[..6].copy_from_slice(&time.to_be_bytes()[2..]);
+    out[6..].copy_from_slice(&fudge.to_be_bytes());
+    out
+}
+
+/// The message as it was signed: without its last record, under its first number.
+fn unsigned(octets: &[u8], signed: &Signed) -> Option<Vec<u8>> {
+    let mut message = octets.get(..signed.at)?.to_vec();
+    message[..2].copy_from_slice(&signed.id.to_be_bytes());
+    let count = u16::from_be_bytes([message[10], message[11]]).checked_sub(1)?;
+    message[10..12].copy_from_slice(&count.to_be_bytes());
+    Some(message)
+}
+
+/// The keys of a server.
+#[derive(Clone, Debug, Default)]
+pub struct Keys(pub Vec<Arc<Key>>);
+
+impl Keys {
+    /// Checks a question's signature (RFC 8945 section 5.2); `now` in Unix seconds. What goes back is signed by
+    /// what comes out, also where the time is wrong.
+    pub fn check(&self, octets: &[u8], signed: &Signed, now: u64) -> Result<Signer, (BadSignature, Signer)> {
+        let own = |key: &&Arc<Key>| key.name == signed.key && key.algorithm.name() == signed.algorithm;
+        let keys: Vec<&Arc<Key>> = self.0.iter().filter(own).collect();
+        let refuse = |bad, key| Err((bad, Signer::refusing(signed, bad, key, now)));
+        if keys.is_empty() {
+            return refuse(BadSignature::Key, None);
+        }
+        let whole = keys[0].algorithm.length();
+        if signed.mac.len() > whole || signed.mac.len() < SHORTEST.max(whole / 2) {
+            return refuse(BadSignature::Short, None);
+        }
+        let (message, variables) = (unsigned(octets, signed), signed.variables());
+        let right = |key: &&&Arc<Key>| {
+            message.as_ref().is_some_and(|message| key.signed(&[message, &variables], &signed.mac))
+        };
+        let Some(key) = keys.iter().find(right) else { return refuse(BadSignature::Signature, None) };
+        if now.abs_diff(signed.time) > u64::from(signed.fudge) {
+            return refuse(BadSignature::Time, Some((*key).clone()));
+        }
+        Ok(Signer {
+            key: Some((*key).clone()),
+            shown: (signed.key.clone(), signed.algorithm.clone()),
+            before: signed.mac.clone(),
+            id: signed.id,
+            time: now,
+            error: 0,
+            other: Vec::new(),
+            first: true,
+        })
+    }
+}
+
+/// Signs what goes back to a question, or a question.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Signer {
+    /// None where the answer goes out with an empty signature.
+    key: Option<Arc<Key>>,
+    shown: (Name, Name),
+    /// The signature that the next one follows on.
+    before: Vec<u8>,
+    id: u16,
+    time: u64,
+    error: u16,
+    other: Vec<u8>,
+    first: bool,
+}
+
+impl Signer {
+    fn refusing(signed: &Signed, bad: BadSignature, key: Option<Arc<Key>>, now: u64) -> Self {
+        // The server's time goes back with BADTIME, signed, under the time of the question (section 5.2.3).
+        let (time, other) = match bad {
+            BadSignature::Time => (signed.time, now.to_be_bytes()[2..].to_vec()),
+            _ => (signed.time, Vec::new()),
+        };
+        Self {
+            key,
+            shown: (signed.key.clone(), signed.algorithm.clone()),
+            before: signed.mac.clone(),
+            id: signed.id,
+            time,
+            error: bad.code(),
+            other,
+            first: true,
+        }
+    }
+
+    /// For questions of our own.
+    pub fn asking(key: Arc<Key>, now: u64) -> Self {
+        let shown = (key.name.clone(), key.algorithm.name());
+        Self {
+            key: Some(key),
+            shown,
+            before: Vec::new(),
+            id: 0,
+            time: now,
+            error: 0,
+            other: Vec::new(),
+            first: true,
+        }
+    }
+
+    /// The key's name, where the signature was right.
+    pub fn key(&self) -> Option<&Name> {
+        self.key.as_ref().filter(|_| self.error == 0).map(|key| &key.name)
+    }
+
+    /// How much longer a message gets.
+    pub fn length(&self) -> usize {
+        let mac = self.key.as_ref().map_or(0, |key| key.algorithm.length());
+        self.shown.0.wire().len() + 10 + self.shown.1.wire().len() + 10 + mac + 6 + self.other.len()
+    }
+
+    /// Adds a signature to a message. Each further message of a transfer follows on the one before.
+    pub fn sign(&mut self, message: &mut Vec<u8>) {
+        let signed = Signed {
+            key: self.shown.0.clone(),
+            algorithm: self.shown.1.clone(),
+            time: self.time,
+            fudge: FUDGE,
+            mac: Vec::new(),
+            id: u16::from_be_bytes([message[0], message[1]]),
+            error: self.error,
+            other: self.other.clone(),
+            at: message.len(),
+        };
+        let prior = (self.before.len() as u16).to_be_bytes();
+        let rest = if self.first { signed.variables() } else { timers(self.time, FUDGE).to_vec() };
+        let mac = self.key.as_ref().map_or(Vec::new(), |key| {
+            let follows: [&[u8]; 2] =
+                if self.before.is_empty() { [&[], &[]] } else { [&prior, &self.before] };
+            key.sign(&[follows[0], follows[1], message, &rest])
+        });
+        let mut data = signed.algorithm.wire().to_vec();
+        data.extend(timers(self.time, FUDGE));
+        data.extend((mac.len() as u16).to_be_bytes());
+        data.extend_from_slice(&mac);
+        data.extend(signed.id.to_be_bytes());
+        data.extend(self.error.to_be_bytes());
+        data.extend((self.other.len() as u16).to_be_bytes());
+        data.extend_from_slice(&self.other);
+        message.extend_from_slice(signed.key.wire());
+        message.extend([0, 250, 0, 255, 0, 0, 0, 0]);
+        message.extend((data.len() as u16).to_be_bytes());
+        message.extend_from_slice(&data);
+        let count = u16::from_be_bytes([message[10], message[11]]) + 1;
+        message[10..12].copy_from_slice(&count.to_be_bytes());
+        (self.before, self.first) = (mac, false);
+    }
+
+    /// Checks the next message that answers our question; the error that it tells comes out as text.
+    pub fn check(&mut self, octets: &[u8], signed: &Signed, now: u64) -> Result<(), String> {
+        if signed.error != 0 {
+            return Err(format!("the server refuses the signature, error {}", signed.error));
+        }
+        let Some(key) = self.key.clone() else { return Err("no key".to_owned()) };
+        let prior = (self.before.len() as u16).to_be_bytes();
+        let message = unsigned(octets, signed).ok_or("a signature out of place")?;
+        let rest = if self.first { signed.variables() } else { timers(signed.time, signed.fudge).to_vec() };
+        if signed.key != key.name || !key.signed(&[&prior, &self.before, &message, &rest], &signed.mac) {
+            return Err(BadSignature::Signature.to_string());
+        }
+        if now.abs_diff(signed.time) > u64::from(signed.fudge) {
+            return Err(BadSignature::Time.to_string());
+        }
+        (self.before, self.first) = (signed.mac.clone(), false);
+        Ok(())
+    }
+
+    /// Makes ready for the answers to the question just signed.
+    pub fn awaiting(&mut self) {
+        self.first = true;
+    }
+}
--- /dev/null
+++ b/crates/fronts/dns/src/udp.rs
@@ -0,0 +1,111 @@
+//! Datagrams in and out by the batch, with the time at which the machine took each in.
+
+use nix::sys::socket::{
+    recvmmsg, sendmmsg, setsockopt, sockopt, ControlMessage, ControlMessageOwned, MsgFlags, MultiHeaders,
+    SockaddrStorage,
+};
+use std::io::{self, IoSlice, IoSliceMut};
+use std::net::{SocketAddr, UdpSocket};
+use std::os::fd::AsRawFd;
+
+/// Datagrams in one batch, and the longest one that is taken.
+const BATCH: usize = 32;
+const LONGEST: usize = 4096;
+/// What the system keeps of datagrams that nobody has read: about so many small ones wait no longer than their
+/// due time, and what does not fit was never read.
+const WAITING: usize = 512 * 1024;
+
+/// Opens a socket whose datagrams carry the time at which they came.
+pub fn open(at: SocketAddr) -> io::Result<UdpSocket> {
+    use socket2::{Domain, Socket, Type};
+    let socket = Socket::new(Domain::for_address(at), Type::DGRAM, None)?;
+    socket.set_recv_buffer_size(WAITING)?;
+    socket.bind(&at.into())?;
+    socket.set_nonblocking(true)?;
+    setsockopt(&socket, sockopt::ReceiveTimestampns, &true)?;
+    Ok(socket.into())
+}
+
+/// Room for one batch.
+pub struct Buffers(Vec<Vec<u8>>);
+
+impl Default for Buffers {
+    fn default() -> Self {
+        Self(vec![vec![0; LONGEST]; BATCH])
+    }
+}
+
+fn address(from: &SockaddrStorage) -> Option<SocketAddr> {
+    let v4 = from.as_sockaddr_in().map(|v4| SocketAddr::new(v4.ip().into(), v4.port()));
+    v4.or_else(|| from.as_sockaddr_in6().map(|v6| SocketAddr::new(v6.ip().into(), v6.port())))
+}
+
+impl Buffers {
+    /// Takes what waits, one batch at most: who sent it, its octets (none where it was too long), and when it
+    /// came in Unix microseconds. Tells whether more may wait.
+    pub fn receive(
+        &mut self,
+        socket: &UdpSocket,
+        mut take: impl FnMut(SocketAddr, Option<&[u8]>, Option<u64>),
+    ) -> io::Result<bool> {
+        let space = nix::cmsg_space!(nix::sys::time::TimeSpec);
+        let mut headers = MultiHeaders::<SockaddrStorage>::preallocate(BATCH, Some(space));
+        let mut slices: Vec<[IoSliceMut; 1]> =
+            self.0.iter_mut().map(|room| [IoSliceMut::new(room)]).collect();
+        let fd = socket.as_raw_fd();
+        let got = match recvmmsg(fd, &mut headers, slices.iter_mut(), MsgFlags::MSG_DONTWAIT, None) {
+            Ok(got) => got,
+            Err(nix::errno::Errno::EAGAIN) => return Ok(false),
+            Err(nix::errno::Errno::EINTR) => return Ok(true),
+            Err(fault) => return Err(fault.into()),
+        };
+        let mut count = 0;
+        for message in got {
+            count += 1;
+            let stamp = message.cmsgs().ok().and_then(|mut all| {
+                all.find_map(|cmsg| match cmsg {
+                    ControlMessageOwned::ScmTimestampns(at) => {
+                        Some(at.tv_sec() as u64 * 1_000_000 + at.tv_nsec() as u64 / 1000)
+                    }
+                    _ => None,
+                })
+            });
+            let whole = !message.flags.contains(MsgFlags::MSG_TRUNC);
+            if let Some(from) = message.address.as_ref().and_then(address) {
+                let octets = message.iovs().next().filter(|_| whole);
+                take(from, octets, stamp);
+            }
+        }
+        Ok(count == BATCH)
+    }
+}
+
+/// Sends datagrams; tells how many the system took. What it has no room for is lost, as on any wire.
+pub fn send(socket: &UdpSocket, all: &[(SocketAddr, Vec<u8>)]) -> usize {
+    let mut sent = 0;
+    for batch in all.chunks(BATCH) {
+        let addresses: Vec<Option<SockaddrStorage>> =
+            batch.iter().map(|(to, _)| Some(SockaddrStorage::from(*to))).collect();
+        let slices: Vec<[IoSlice; 1]> = batch.iter().map(|(_, octets)| [IoSlice::new(octets)]).collect();
+        let mut from = 0;
+        while from < batch.len() {
+            let mut headers = MultiHeaders::<SockaddrStorage>::preallocate(batch.len() - from, None);
+            let none: [ControlMessage; 0] = [];
+            let flags = MsgFlags::MSG_DONTWAIT;
+            let went =
+                sendmmsg(socket.as_raw_fd(), &mut headers, &slices[from..], &addresses[from..], none, flags);
+            match went.map(Iterator::count) {
+                Ok(0) => break,
+                Ok(count) => {
+                    from += count;
+                    sent += count;
+                }
+                Err(nix::errno::Errno::EINTR) => {}
+                Err(nix::errno::Errno::EAGAIN) => return sent,
+                // One that can't be sent must not keep the others back.
+                Err(_) => from += 1,
+            }
+        }
+    }
+    sent
+}
--- /dev/null
+++ b/crates/lab/standins/src/lib.rs
@@ -0,0 +1,5 @@
+//! Stand-ins for what the project meets outside, written from published formats.
+
+#![forbid(unsafe_code)]
+
+pub mod disk;
