--- a/crates/fronts/dns/src/codec.rs
+++ b/crates/fronts/dns/src/codec.rs
@@ -411,7 +411,8 @@
     header.set_aa(reply.authoritative);
     header.set_tc(truncated);
     header.set_rcode(Rcode::masked_from_int(code.0 as u8));
-    builder.set_push_limit(most);
+    // The library stops short of its limit; what reaches it exactly fits too.
+    builder.set_push_limit(most + 1);
     let mut question = builder.question();
     let name = domain::base::Name::from_octets(&asked.question[..asked.question.len() - 4]);
     let class = Class::from_int(u16::from_be_bytes(*asked.question.last_chunk::<2>()?));
--- a/crates/fronts/dns/src/connection.rs
+++ b/crates/fronts/dns/src/connection.rs
@@ -6,11 +6,11 @@
 use lynxtally_wire::alarm::Alarm;
 use lynxtally_wire::end::End;
 use lynxtally_wire::line::{self, Filled, Line, Outbox};
-use may::io::{CoIo, WaitIo};
+use may::io::{CoIo, WaitIo, WaitIoWaker};
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tracing::{debug, warn};
@@ -22,6 +22,8 @@
 const OUT_MOST: usize = 128 * 1024;
 /// The pause after a connection could not be taken: a full table of descriptors must not be spun on.
 const PAUSE: Duration = Duration::from_millis(20);
+/// How many such pauses the closing of listeners is waited for.
+const CLOSINGS: usize = 10;
 /// A connection that carries nothing for so long is closed (RFC 7766 section 6.2.3 leaves it to the server).
 const IDLE: Duration = Duration::from_secs(30);
 
@@ -87,13 +89,25 @@
     next: AtomicU64,
     most: usize,
     alarm: Alarm,
+    closing: AtomicBool,
+    closed: AtomicUsize,
+    wakers: Mutex<Vec<WaitIoWaker>>,
     news: Box<dyn Fn(News) + Send + Sync>,
 }
 
 impl Connections {
     /// So many at most; `news` hears of all that comes.
     pub fn new(most: usize, alarm: Alarm, news: impl Fn(News) + Send + Sync + 'static) -> Self {
-        Self { seats: Mutex::default(), next: AtomicU64::new(0), most, alarm, news: Box::new(news) }
+        Self {
+            seats: Mutex::default(),
+            next: AtomicU64::new(0),
+            most,
+            alarm,
+            closing: AtomicBool::new(false),
+            closed: AtomicUsize::new(0),
+            wakers: Mutex::default(),
+            news: Box::new(news),
+        }
     }
 
     /// How many there are.
@@ -115,10 +129,24 @@
         }
     }
 
-    /// Takes connections for as long as the program runs.
+    /// Takes no connections any more, and has all that rest closed; waits until nobody listens.
+    pub fn close(&self) {
+        self.closing.store(true, Ordering::Release);
+        line::lock(&self.wakers).iter().for_each(WaitIoWaker::wakeup);
+        self.close_idle(true);
+        for _ in 0..CLOSINGS {
+            if line::lock(&self.wakers).len() == self.closed.load(Ordering::Acquire) {
+                return;
+            }
+            std::thread::sleep(PAUSE);
+        }
+    }
+
+    /// Takes connections until they are closed.
     pub fn accept(self: &Arc<Self>, listener: TcpListener) {
         let Ok(listener) = CoIo::new(listener) else { return warn!("the listener can't be waited on") };
-        loop {
+        line::lock(&self.wakers).push(listener.waker());
+        while !self.closing.load(Ordering::Acquire) {
             match listener.inner().accept() {
                 Ok((stream, from)) => self.take(stream, from),
                 Err(fault) if fault.kind() == ErrorKind::WouldBlock => {
@@ -130,6 +158,8 @@
                 }
             }
         }
+        drop(listener);
+        self.closed.fetch_add(1, Ordering::AcqRel);
     }
 
     /// Where the table is full, the one that rests longest goes, else the new one.
--- a/crates/fronts/dns/src/server.rs
+++ b/crates/fronts/dns/src/server.rs
@@ -1,4 +1,4 @@
-//! The server: one coroutine owns the host and the zones, reads datagrams by the batch, and hands out what is to
+//! The server: one thread owns the host and the zones, reads datagrams by the batch, and hands out what is to
 //! be made durable, streamed or done aside. It makes no choice.
 
 use crate::client::{self, Client};
@@ -24,18 +24,21 @@
 use lynxtally_names::{Serial, Zone};
 use lynxtally_wire::alarm::Alarm;
 use lynxtally_wire::clock::Clock;
-use lynxtally_wire::line::{spawn, Outbox};
-use may::io::{CoIo, WaitIo};
+use lynxtally_wire::line::{guarded, lock, spawn};
+use nix::poll::{ppoll, PollFd, PollFlags};
+use nix::sys::eventfd::{EfdFlags, EventFd};
+use nix::sys::time::TimeSpec;
 use rand::Rng;
+use std::collections::VecDeque;
 use std::net::{SocketAddr, UdpSocket};
+use std::os::fd::AsFd;
 use std::path::Path;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{self, Sender};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tracing::{error, info, warn};
 
-const OWNER_STACK_WORDS: usize = 0x10000;
 const STACK_WORDS: usize = 0x2000;
 /// Batches of datagrams, and other messages, in one turn at most.
 const BATCHES: usize = 2;
@@ -47,8 +50,6 @@
 pub enum Heard {
     /// Of connections.
     Tcp(News),
-    /// Datagrams from a further socket.
-    Datagrams(usize, Vec<(SocketAddr, Option<Vec<u8>>, Option<u64>)>),
     /// Entries of a zone are durable up to a number, or its log failed.
     Durable(usize, Result<u64, String>),
     /// A file was read again.
@@ -63,8 +64,6 @@
     Noticed(usize, usize, Serial),
     /// An operator says something.
     Control(Verb, Sender<String>),
-    /// Something may be due.
-    Due,
     /// The notice to leave.
     Leave,
 }
@@ -135,7 +134,7 @@
 impl Answerer<Arc<Ask<Via>>> for Desk {
     fn answer(&mut self, ask: Arc<Ask<Via>>, answer: Answer) -> bool {
         use crate::serving::Peer;
-        let streaming = ask.streaming.load(std::sync::atomic::Ordering::Relaxed);
+        let streaming = ask.streaming.load(Ordering::Relaxed);
         let octets = match answer {
             // What went out on the connection is the answer.
             Answer::Finished(octets) if octets.is_empty() => return true,
@@ -158,14 +157,50 @@
     }
 }
 
+/// What the owner is to hear, and how it is woken where it sleeps.
+struct Inbox {
+    waiting: Mutex<VecDeque<Heard>>,
+    asleep: AtomicBool,
+    bell: EventFd,
+}
+
 /// A server's handle on itself: who wants it to hear something.
 #[derive(Clone)]
-pub struct Ear(Arc<Outbox<Heard>>);
+pub struct Ear(Arc<Inbox>);
 
 impl Ear {
+    fn new() -> Result<Self, String> {
+        let bell = EventFd::from_flags(EfdFlags::EFD_NONBLOCK)
+            .map_err(|fault| format!("no event can be made: {fault}"))?;
+        Ok(Self(Arc::new(Inbox { waiting: Mutex::default(), asleep: AtomicBool::new(false), bell })))
+    }
+
     /// Has the owner hear something.
     pub fn say(&self, heard: Heard) {
-        self.0.push(heard);
+        lock(&self.0.waiting).push_back(heard);
+        if self.0.asleep.swap(false, Ordering::SeqCst) {
+            // A full counter wakes as well.
+            let _ = self.0.bell.write(1);
+        }
+    }
+
+    fn take(&self) -> Option<Heard> {
+        lock(&self.0.waiting).pop_front()
+    }
+
+    /// Sleeps until a datagram comes, something is said, or so long has passed.
+    fn sleep(&self, sockets: &[Arc<UdpSocket>], most: Option<Duration>) {
+        self.0.asleep.store(true, Ordering::SeqCst);
+        // What was said before that rang no bell.
+        if lock(&self.0.waiting).is_empty() {
+            let mut fds: Vec<PollFd> =
+                sockets.iter().map(|s| PollFd::new(s.as_fd(), PollFlags::POLLIN)).collect();
+            fds.push(PollFd::new(self.0.bell.as_fd(), PollFlags::POLLIN));
+            // An interrupted sleep is a short one.
+            let _ = ppoll(&mut fds, most.map(TimeSpec::from), None);
+        }
+        self.0.asleep.store(false, Ordering::SeqCst);
+        let _ = self.0.bell.read();
     }
 }
 
@@ -180,8 +215,6 @@
     secret: cookie::Secret,
     shares: Shares,
     ear: Ear,
-    alarm: Alarm,
-    armed: Option<Instant>,
     log: Sender<Job>,
     aside: Sender<Aside>,
     connections: Arc<Connections>,
@@ -227,16 +260,15 @@
     for zone in &settings.zones {
         zones.push(load(&mut folder, zone, &settings, now)?);
     }
-    let ear = Ear(Arc::default());
+    let ear = Ear::new()?;
     let (sockets, listen) = open_sockets(&settings)?;
     let alarm = Alarm::start().map_err(|fault| format!("a thread can't be started: {fault}"))?;
     let own = ear.clone();
     control::listen(&state, move |verb, answer| own.say(Heard::Control(verb, answer)))
         .map_err(|fault| format!("{}: {fault}", control::path(&state).display()))?;
     let own = ear.clone();
-    let connections = Arc::new(Connections::new(settings.limits.connections, alarm.clone(), move |n| {
-        own.say(Heard::Tcp(n))
-    }));
+    let connections =
+        Arc::new(Connections::new(settings.limits.connections, alarm, move |n| own.say(Heard::Tcp(n))));
     for at in &listen {
         let listener = crate::connection::listen(*at).map_err(|fault| format!("`listen`: {at}: {fault}"))?;
         let all = connections.clone();
@@ -269,8 +301,6 @@
         host,
         serving: Serving::new(zones, log_most),
         ear: ear.clone(),
-        alarm,
-        armed: None,
         log,
         aside,
         connections,
@@ -281,21 +311,26 @@
         tasks: [0; 5],
     };
     let (ended, end) = mpsc::channel();
-    let failed = |text: String| error!(text, "the owner failed");
-    let first = sockets[0].try_clone().map_err(|fault| fault.to_string())?;
-    for (number, socket) in sockets.iter().enumerate().skip(1) {
-        let (socket, ear) = (socket.try_clone().map_err(|fault| fault.to_string())?, ear.clone());
-        spawn(STACK_WORDS, move || forward(number, socket, &ear), failed)
-            .map_err(|fault| format!("a coroutine can't be started: {fault}"))?;
-    }
+    drop(sockets);
     let work = move || {
         let mut server = server;
-        server.work(first);
+        let worked = guarded(|| server.work());
+        if let Err(text) = &worked {
+            error!(text, "the owner failed; every open task is answered that it failed");
+            server.give_up();
+        }
+        server.connections.close();
+        let adds_up = worked.is_ok() && server.host.tally().adds_up();
+        let counters = server.counters();
+        // Whoever hears of the end may use the addresses again.
+        drop(server);
         // Who started it may be gone.
-        let _ = ended.send(Ended { counters: server.counters(), adds_up: server.host.tally().adds_up() });
+        let _ = ended.send(Ended { counters, adds_up });
     };
-    spawn(OWNER_STACK_WORDS, work, failed)
-        .map_err(|fault| format!("a coroutine can't be started: {fault}"))?;
+    std::thread::Builder::new()
+        .name("names".to_owned())
+        .spawn(work)
+        .map_err(|fault| format!("a thread can't be started: {fault}"))?;
     Ok(Running { ear, listen, end })
 }
 
@@ -317,27 +352,6 @@
     Folder::new(state).map_err(|fault| format!("{}: {fault}", state.display()))
 }
 
-fn forward(number: usize, socket: UdpSocket, ear: &Ear) {
-    let Ok(socket) = CoIo::new(socket) else { return error!("a socket can't be waited on") };
-    let mut buffers = udp::Buffers::default();
-    loop {
-        let mut all = Vec::new();
-        let more = buffers.receive(socket.inner(), |from, octets, stamp| {
-            all.push((from, octets.map(<[u8]>::to_vec), stamp));
-        });
-        if !all.is_empty() {
-            ear.say(Heard::Datagrams(number, all));
-        }
-        match more {
-            Ok(true) => may::coroutine::yield_now(),
-            Ok(false) => {
-                socket.wait_io();
-            }
-            Err(fault) => warn!(%fault, "datagrams can't be read"),
-        }
-    }
-}
-
 /// The name of a zone's journal.
 pub fn journal_name(zone: &settings::Zone) -> String {
     let text = zone.apex.to_string();
@@ -508,30 +522,28 @@
 }
 
 impl<P: Decide> Server<P> {
-    fn work(&mut self, socket: UdpSocket) {
-        let socket = match CoIo::new(socket) {
-            Ok(socket) => socket,
-            Err(fault) => return error!(%fault, "the socket can't be waited on"),
-        };
-        self.ear.0.attach_waker(socket.waker());
+    /// On a thread of its own: a coroutine that always has more to do would keep its worker from ever looking
+    /// for what other coroutines wait for.
+    fn work(&mut self) {
         let mut buffers = udp::Buffers::default();
+        let sockets = self.desk.sockets.clone();
         while !self.over {
             self.serving.now = self.clock.now();
             let mut more = false;
-            for _ in 0..BATCHES {
-                let got = buffers.receive(socket.inner(), |from, octets, stamp| {
-                    self.came(octets, from, Via::Udp(0), stamp);
-                });
-                match got {
-                    Ok(full) => more = full,
-                    Err(fault) => warn!(%fault, "datagrams can't be read"),
-                }
-                if !more {
-                    break;
+            for (number, socket) in sockets.iter().enumerate() {
+                for _ in 0..BATCHES {
+                    let got = buffers.receive(socket, |from, octets, stamp| {
+                        self.came(octets, from, Via::Udp(number), stamp);
+                    });
+                    match got {
+                        Ok(true) => more = true,
+                        Ok(false) => break,
+                        Err(fault) => warn!(%fault, "datagrams can't be read"),
+                    }
                 }
             }
             for _ in 0..MESSAGES {
-                let Some(heard) = self.ear.0.take() else { break };
+                let Some(heard) = self.ear.take() else { break };
                 more = true;
                 self.hear(heard);
             }
@@ -539,16 +551,24 @@
             if self.leaving && self.host.tally().open == 0 {
                 break;
             }
-            if more {
-                may::coroutine::yield_now();
-            } else {
-                self.set_alarm();
-                socket.wait_io();
+            if !more {
+                let now = self.clock.now();
+                let most = self.host.next_due().map(|at| Duration::from_micros((at - now).micros()));
+                self.ear.sleep(&sockets, most);
             }
         }
         self.desk.flush();
     }
 
+    /// After a failure of our own: every open task is answered that it failed.
+    fn give_up(&mut self) {
+        for ask in self.host.give_up() {
+            let octets = ask.code(Code::FAIL, None);
+            self.desk.put(&ask.peer, ask.from, octets);
+        }
+        self.desk.flush();
+    }
+
     /// Has all that was heard decided on, carried out and sent.
     fn turn(&mut self) {
         let now = self.serving.now;
@@ -588,16 +608,6 @@
         self.desk.flush();
     }
 
-    fn set_alarm(&mut self) {
-        let Some(at) = self.host.next_due() else { return };
-        let now = self.clock.now();
-        if self.armed.is_none_or(|armed| at < armed || armed <= now) {
-            self.armed = Some(at);
-            let ear = self.ear.clone();
-            self.alarm.after(Duration::from_micros((at - now).micros()), move || ear.say(Heard::Due));
-        }
-    }
-
     /// A message was read: it becomes a task.
     fn came(&mut self, octets: Option<&[u8]>, from: SocketAddr, via: Via, stamp: Option<u64>) {
         let now = self.serving.now;
@@ -693,11 +703,6 @@
                 let end = if well { RunEnd::Finished(Vec::new()) } else { RunEnd::Failed };
                 self.serving.ended.push((task, end));
             }
-            Heard::Datagrams(number, all) => {
-                for (from, octets, stamp) in all {
-                    self.came(octets.as_deref(), from, Via::Udp(number), stamp);
-                }
-            }
             Heard::Durable(zone, Ok(up_to)) => {
                 if self.serving.durable(zone, up_to) {
                     self.host.set(now, Due::Zone(zone));
@@ -747,7 +752,6 @@
                 self.serving.zones[zone].notices.heard(target, Some(serial));
             }
             Heard::Control(verb, answer) => self.control(verb, answer),
-            Heard::Due => self.armed = None,
             Heard::Leave => {
                 let stop = Span::from_micros(self.settings.stop.as_micros() as u64);
                 if self.host.drain(now, stop) {
--- a/crates/fronts/dns/src/serving.rs
+++ b/crates/fronts/dns/src/serving.rs
@@ -523,6 +523,13 @@
         step
     }
 
+    /// A call that can't be made now nor later ends its run; it counts as made.
+    fn fail(&mut self, task: TaskId, number: u64) -> bool {
+        self.called.push((task, number, CallOutcome::MayHaveRun));
+        self.ended.push((task, RunEnd::Failed));
+        true
+    }
+
     /// A message is known by its task from now on, for as long as it waits for something.
     fn keep(&mut self, task: TaskId, work: &Arc<Ask<P>>) {
         self.asks.insert(task, work.clone());
@@ -572,15 +579,16 @@
         match &work.asked.body {
             Body::Transfer(from) => {
                 let zone = self.zone(work.asked.name.wire()).map(|at| &self.zones[at]);
-                let Some((zone, version)) = zone.and_then(|zone| Some((zone, zone.served()?.clone()))) else {
-                    return false;
-                };
+                let version = zone.and_then(|zone| Some((zone, zone.served()?.clone())));
+                // Expired since it was let in: told that it failed, not tried again and again.
+                let Some((zone, version)) = version else { return self.fail(task, number) };
                 let changes = from.and_then(|from| zone.keeper.as_ref()?.since(from));
                 let from = *from;
                 let writer = codec::Transfer::new(&work.asked, version, from, changes, work.signer.clone());
                 work.streaming.store(true, Ordering::Relaxed);
                 self.counts.transfers += 1;
-                work.peer.stream(Box::new(Stream { task, number, writer }))
+                // Where the connection is gone meanwhile, the owner hears of it soon.
+                work.peer.stream(Box::new(Stream { task, number, writer })) || self.fail(task, number)
             }
             _ => {
                 let ask = work.clone();
--- a/crates/fronts/dns/tests/codec.rs
+++ b/crates/fronts/dns/tests/codec.rs
@@ -46,6 +46,10 @@
         assert!(cut.len() <= most, "{} of {most}", cut.len());
         let cut = Answered::read(&cut).expect("it can be read");
         assert!(cut.truncated && cut.sections[0].is_empty());
+        assert_eq!(
+            &answer(&asked, most)[12..12 + asked.question.len()],
+            &octets[12..12 + asked.question.len()]
+        );
     }
 }
 
--- a/crates/fronts/wire/src/line.rs
+++ b/crates/fronts/wire/src/line.rs
@@ -100,11 +100,6 @@
         lock(&self.state).waker = Some(line.stream.waker());
     }
 
-    /// From now on messages wake whoever waits there.
-    pub fn attach_waker(&self, waker: WaitIoWaker) {
-        lock(&self.state).waker = Some(waker);
-    }
-
     /// No connection is woken until the next one is attached.
     pub fn detach(&self) {
         lock(&self.state).waker = None;
--- a/crates/lab/standins/src/names.rs
+++ b/crates/lab/standins/src/names.rs
@@ -29,6 +29,11 @@
         Ok(Self { socket, id: 0, room: vec![0; 4096] })
     }
 
+    /// Waits no longer than this for an answer.
+    pub fn patience(&self, patience: Duration) -> io::Result<()> {
+        self.socket.set_read_timeout(Some(patience))
+    }
+
     /// Asks; datagrams that answer something else are passed over.
     pub fn ask(&mut self, name: &Name, kind: Kind) -> io::Result<Answered> {
         self.id = self.id.wrapping_add(1);
