Names over DNS: one worker carries the connections; each story listens at an address of its own

Seen: with the eight workers that may takes by default, runs of all stories together once crashed and once stood still with every worker idle in epoll_wait and a connection's bytes unread (backtrace of all threads). The node always had one worker. Ports collided with those that clients got on the same address; each story's server has an address of its own on loopback.

--- a/crates/cli/src/names.rs
+++ b/crates/cli/src/names.rs
@@ -281,7 +281,6 @@
 
 fn serve(path: &Path) -> Result<(), Failed> {
     let checked = settings(path)?;
-    may::config().set_workers(1).set_stack_size(0x2000).set_worker_pin(false);
     let running = server::start(checked.clone(), server::module)?;
     for at in &running.listen {
         println!("listening on {at}");
--- a/crates/core/names/tests/updates.rs
+++ b/crates/core/names/tests/updates.rs
@@ -323,8 +323,13 @@
     }
 
     fn update(&mut self, n: u8) -> Result<(), Lost> {
-        let taken =
-            take(&mut self.keeper, 0, &[add(&format!("n{n}"), n)], n.into(), (n % 3 == 0).then_some(60));
+        let taken = take(
+            &mut self.keeper,
+            0,
+            &[add(&format!("n{n}"), n)],
+            n.into(),
+            n.is_multiple_of(3).then_some(60),
+        );
         if let Some(entry) = taken.entry {
             self.log(&entry)?;
         }
--- a/crates/fronts/dns/src/connection.rs
+++ b/crates/fronts/dns/src/connection.rs
@@ -15,7 +15,8 @@
 use std::time::{Duration, Instant};
 use tracing::{debug, warn};
 
-const STACK_WORDS: usize = 0x2000;
+/// Writing a message of a transfer needs more of it than anything else; only what is touched takes memory.
+const STACK_WORDS: usize = 0x4000;
 /// Messages on one connection that wait for their answers, and octets that wait to be written, at most. What
 /// comes beyond is read later.
 const OPEN_MOST: usize = 64;
--- a/crates/fronts/dns/src/server.rs
+++ b/crates/fronts/dns/src/server.rs
@@ -39,7 +39,7 @@
 use std::time::Duration;
 use tracing::{error, info, warn};
 
-const STACK_WORDS: usize = 0x2000;
+const STACK_WORDS: usize = 0x4000;
 /// Batches of datagrams, and other messages, in one turn at most.
 const BATCHES: usize = 2;
 const MESSAGES: usize = 64;
@@ -253,6 +253,9 @@
     settings: Checked,
     decide: impl FnOnce(&Checked, Instant) -> P,
 ) -> Result<Running, String> {
+    // Connections are light: one worker carries them all, bound to no core. With several, coroutines that were
+    // stolen from one worker by another were seen to miss what they waited for.
+    may::config().set_workers(1).set_stack_size(STACK_WORDS).set_worker_pin(false);
     let clock = Clock::default();
     let now = clock.now();
     let (mut folder, state) = (folder(&settings.state)?, settings.state.clone());
--- a/crates/fronts/dns/tests/world/mod.rs
+++ b/crates/fronts/dns/tests/world/mod.rs
@@ -58,6 +58,12 @@
     }
 }
 
+fn address() -> [u8; 4] {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    [127, 77, (number / 250) as u8, (number % 250) as u8 + 1]
+}
+
 pub fn text(serial: u32, rest: &str) -> String {
     format!("$TTL 300\n@ SOA ns host {serial} 1 1 86400 60\n@ NS ns\nns A 192.0.2.1\n{rest}")
 }
@@ -74,7 +80,8 @@
         kinds: kinds.iter().map(|kind| (*kind).to_owned()).collect(),
     };
     File {
-        listen: vec![([127, 0, 0, 1], 0).into()],
+        // An address of its own: what others connect from can't be in its way.
+        listen: vec![(address(), 0).into()],
         state: folder.0.join("state"),
         zones: vec![ZoneFile {
             apex: APEX.into(),
