The module lists a task by its time only once it outlasts the moment it came in

Measured in process with runs that end at once: of 550 ns that a task took in the host with the module, 34 ns without one, much was putting it into the set of due times and out again, looking for it in sets it is not in, and fading figures by no time at all. Now a task is listed at the next moment if it is still there, sets are asked by where it stood, and events of one moment fade nothing.

--- a/crates/core/names/src/name.rs
+++ b/crates/core/names/src/name.rs
@@ -269,12 +269,12 @@
 impl Ord for Name {
     fn cmp(&self, other: &Self) -> Ordering {
         let (a, b) = (Starts::of(&self.0), Starts::of(&other.0));
-        let label = |wire: &'_ [u8], starts: &Starts, n: usize| {
+        fn label<'a>(wire: &'a [u8], starts: &Starts, n: usize) -> &'a [u8] {
             let at = starts.at(starts.count() - 1 - n);
-            wire[at + 1..at + 1 + wire[at] as usize].to_vec()
-        };
+            &wire[at + 1..at + 1 + wire[at] as usize]
+        }
         for n in 0..a.count().min(b.count()) {
-            match label(&self.0, &a, n).cmp(&label(&other.0, &b, n)) {
+            match label(&self.0, &a, n).cmp(label(&other.0, &b, n)) {
                 Ordering::Equal => {}
                 unequal => return unequal,
             }
--- a/crates/fronts/dns/src/settings.rs
+++ b/crates/fronts/dns/src/settings.rs
@@ -289,7 +289,7 @@
 
 /// Tasks that the executor has under way at once: a batch is run and then settled. One core is seen as so many
 /// slower ones, so that the module decides once a batch and not once a question.
-pub const BATCH: u32 = 16;
+pub const BATCH: u32 = 32;
 /// A task that runs takes this many times the memory of one that is held.
 const RUN_MEMORY: f64 = 2.0;
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -100,6 +100,9 @@
     called: Instant,
     call_tries: u32,
     look: Instant,
+    /// Whether it stands among the timed, or is about to.
+    listed: bool,
+    fresh: bool,
     kept_until: Option<Instant>,
     key_told: bool,
 }
@@ -128,6 +131,8 @@
     hold: BTreeSet<(u64, TaskId)>,
     standing: BTreeSet<(u64, TaskId)>,
     timed: BTreeSet<(Instant, TaskId)>,
+    /// Tasks to be looked at later that are not listed yet: most are over before the next moment.
+    fresh: Vec<TaskId>,
     changed: Vec<TaskId>,
     rows: Vec<Row>,
     /// What each customer sends here that is not rejected, in tasks a second.
@@ -187,6 +192,7 @@
             hold: BTreeSet::new(),
             standing: BTreeSet::new(),
             timed: BTreeSet::new(),
+            fresh: Vec::new(),
             changed: Vec::new(),
             rows: set.stages.iter().map(row).collect(),
             sent: set.quotas.iter().map(|quota| quota / f64::from(set.backends.max(1))).collect(),
@@ -233,6 +239,7 @@
     /// Decides, and adds what the host shall do.
     pub fn settle(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.advance(now);
+        self.list_fresh();
         self.select();
         while let Some(&(_, id)) = self.timed.first().filter(|(at, _)| *at <= now) {
             self.timed.pop_first();
@@ -252,8 +259,11 @@
     }
 
     fn advance(&mut self, now: Instant) {
+        if now <= self.now {
+            return; // All of one moment: nothing fades.
+        }
         let past = (now - self.now).secs();
-        self.now = self.now.max(now);
+        self.now = now;
         self.clock += past * (self.cores / self.load.on_cores.max(1.0)).min(1.0);
         if let Below::Shared { over, linger, .. } = self.set.below {
             let keep = |span: Span| (-past / span.secs().max(1e-3)).exp();
@@ -291,22 +301,26 @@
     /// Sets where a task is wanted; `emit` tells the host.
     fn put(&mut self, id: TaskId, place: Place) {
         let (clock, task) = (self.clock, self.inside(id));
-        if task.place == place {
+        let before = task.place;
+        if before == place {
             return;
         }
-        if task.place == Place::OnCores {
+        if before == Place::OnCores {
             task.worked += clock;
         } else if place == Place::OnCores {
             task.worked -= clock;
         }
         let key = (order(task.rate), id);
-        self.hold.remove(&key);
-        self.standing.remove(&key);
-        if place == Place::Held {
-            self.hold.insert(key);
-        } else if place == Place::Standing {
-            self.standing.insert(key);
-        }
+        match before {
+            Place::Held => self.hold.remove(&key),
+            Place::Standing => self.standing.remove(&key),
+            _ => false,
+        };
+        match place {
+            Place::Held => self.hold.insert(key),
+            Place::Standing => self.standing.insert(key),
+            _ => false,
+        };
         self.reweigh(id, |task| task.place = place);
         self.changed.push(id);
     }
@@ -317,9 +331,29 @@
     }
 
     fn look_at(&mut self, id: TaskId, at: Instant) {
-        let before = std::mem::replace(&mut self.inside(id).look, at);
-        self.timed.remove(&(before, id));
-        self.timed.insert((at, id));
+        let (now, task) = (self.now, self.inside(id));
+        let before = std::mem::replace(&mut task.look, at);
+        if task.listed || at <= now {
+            let listed = std::mem::replace(&mut task.listed, true);
+            if listed {
+                self.timed.remove(&(before, id));
+            }
+            self.timed.insert((at, id));
+        } else if !std::mem::replace(&mut task.fresh, true) {
+            self.fresh.push(id);
+        }
+    }
+
+    /// Lists the tasks that are still there since the last moment.
+    fn list_fresh(&mut self) {
+        for id in std::mem::take(&mut self.fresh) {
+            let Some(task) = self.tasks[id.0 as usize].as_mut() else { continue };
+            // What is over by now is looked at again only for its key, which is then said anew.
+            if std::mem::take(&mut task.fresh) && task.place != Place::Over && !task.listed {
+                task.listed = true;
+                self.timed.insert((task.look, id));
+            }
+        }
     }
 
     fn cost(&self, stage: usize, basis: f64) -> f64 {
@@ -553,6 +587,7 @@
     }
 
     fn drain(&mut self, kill: Instant) {
+        self.list_fresh();
         let early = self.period * ANSWER_EARLY;
         self.kill = Some((self.now + self.set.drain_grace - early, kill));
         self.logs.push(format!("leaving: {:.0} tasks to answer", self.load.out + self.hold.len() as f64));
@@ -800,12 +835,15 @@
         if let Some(until) = task.kept_until.filter(|until| task.ran && *until > now) {
             return self.look_at(id, until);
         }
-        let (look, forget) = (task.look, task.kept_until.is_some_and(|until| until > now && task.key_told));
+        let (look, listed, forget) =
+            (task.look, task.listed, task.kept_until.is_some_and(|until| until > now && task.key_told));
         if forget {
             actions.push(Action::Forget(id));
         }
         self.reweigh(id, |task| task.kept_until = None);
-        self.timed.remove(&(look, id));
+        if listed {
+            self.timed.remove(&(look, id));
+        }
         self.tasks[id.0 as usize] = None;
         actions.push(Action::Release(id));
     }
