--- /dev/null
+++ b/crates/cli/tests/program.rs
@@ -0,0 +1,66 @@
+//! The operators' program as it is called: what it says, and how it ends.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+fn run(arguments: &[&str]) -> (Option<i32>, String, String) {
+    let out = Command::new(env!("CARGO_BIN_EXE_lynxtally")).args(arguments).output().expect("it runs");
+    let text = |octets: &[u8]| String::from_utf8_lossy(octets).into_owned();
+    (out.status.code(), text(&out.stdout), text(&out.stderr))
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("lynxtally-cli-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).expect("a file");
+    path
+}
+
+const GOOD: &str = "$ORIGIN example.org.\n$TTL 60\n@ SOA ns host 1 1 1 1 1\n@ NS ns\nns A 192.0.2.1\n";
+
+#[test]
+fn check_tells_each_refused_record_and_ends_with_what_was_found() {
+    let good = file("good", GOOD);
+    let bad = file("bad", &format!("{GOOD}a A x\nb A 192.0.2.2\n"));
+    let (good, bad) = (good.to_str().expect("UTF-8"), bad.to_str().expect("UTF-8"));
+    assert_eq!(
+        run(&["names", "check", good]),
+        (Some(0), "3 records kept, 0 refused\n".into(), String::new())
+    );
+    let said = format!("{bad}:6:5: \"x\" is no IPv4 address\n4 records kept, 1 refused\n");
+    assert_eq!(run(&["names", "check", bad]), (Some(1), said, String::new()));
+    let (code, json, _) = run(&["names", "check", bad, "--format", "json"]);
+    assert_eq!((code, json.contains("\"line\":6") && json.contains("\"kept\":4")), (Some(1), true), "{json}");
+    let (code, said, _) = run(&["names", "diff", good, bad]);
+    assert_eq!((code, said.as_str()), (Some(1), "+ b.example.org. 60 IN A 192.0.2.2\n"));
+    assert_eq!(run(&["names", "check", "/nowhere"]).0, Some(2));
+    assert_eq!(run(&["names", "frob"]).0, Some(2));
+    for path in [good, bad] {
+        std::fs::remove_file(path).expect("it is there");
+    }
+}
+
+#[test]
+fn settings_errors_name_file_and_key() {
+    let settings = |body: &str| {
+        let path = file("settings.jsonnet", body);
+        let ended = run(&["settings", "check", path.to_str().expect("UTF-8")]);
+        std::fs::remove_file(path).expect("it is there");
+        ended
+    };
+    let zone = "{ apex: 'example.org', file: 'z' }";
+    let (code, _, said) =
+        settings(&format!("{{ listen: ['127.0.0.1:0'], state: 's', zones: [{zone}, {zone}] }}"));
+    assert_eq!(code, Some(1));
+    assert!(
+        said.contains("settings.jsonnet: `zones[1].apex` is example.org., which stands above too"),
+        "{said}"
+    );
+    let (code, _, said) = settings(&format!("{{ listen: [], state: 's', zonse: [{zone}] }}"));
+    assert!(code == Some(1) && said.contains("unknown field `zonse`"), "{said}");
+    let (code, _, said) = settings("{ listen: [ }");
+    assert!(code == Some(1) && said.contains("settings.jsonnet"), "{said}");
+    let (code, said, _) = run(&["completion", "bash"]);
+    assert!(code == Some(0) && said.contains("_lynxtally"), "{code:?}");
+    let (code, said, _) = run(&["man"]);
+    assert!(code == Some(0) && said.contains("names"), "{code:?}");
+}
--- a/crates/fronts/dns/tests/stories.rs
+++ b/crates/fronts/dns/tests/stories.rs
@@ -404,6 +404,40 @@
     assert!(said.starts_with("`keys[0]` is ") && said.contains("mode 644"), "{said}");
 }
 
+#[test]
+fn names_held_for_a_time_lapse_unless_renewed_and_a_shortened_log_keeps_all() {
+    let folder = Folder::new();
+    folder.zone(1, "");
+    let mut settings = primary(&folder);
+    settings.limits.lease_least_s = 1;
+    let world = World::start(settings.clone());
+    let mut updater = world.updater(1);
+    let mut hold = |name: &Name, last: u8, lease: Option<u32>| {
+        let octets = updater.message(&[], &[add(name, Kind::A, &[10, 0, 0, last])], lease);
+        let answered = updater.exchange(&octets).expect("answered");
+        assert_eq!(answered.code, 0);
+        answered.lease
+    };
+    assert_eq!(hold(&name("pool"), 1, Some(1)), Some(1), "granted as asked");
+    assert_eq!(
+        hold(&name("pool"), 2, Some(100_000_000)),
+        Some(86_400),
+        "granted for no longer than is allowed"
+    );
+    assert_eq!(hold(&name("pool"), 3, None), None);
+    let addresses = |world: &World| {
+        world.client().ask(&query(1, &name("pool"), Kind::A)).expect("answered").sections[0].len()
+    };
+    assert_eq!(addresses(&world), 3);
+    assert!(world.say(&Verb::Compact("example.org".into())).contains("true"));
+    until("the one that was not renewed is gone", || addresses(&world) == 2);
+    until("a snapshot is there", || folder.0.join("state/example_org.2.snap").exists());
+    assert_eq!(count(&world.leave(), "lapsed"), 1);
+    let world = World::start(settings);
+    assert_eq!((addresses(&world), world.serial()), (2, Serial(5)));
+    world.leave();
+}
+
 #[test]
 fn names_of_files_follow_names_of_zones() {
     let folder = Folder::new();
