Notices come from the address at which a primary listens; free ports are tried again

Seen in the checks: a story's server on 127.0.0.1 got a port for UDP that a client had for TCP. Where the system chooses, another port is tried; UDP and TCP are opened together. A secondary knows its primary by address, but notices left from whatever address the system picked: on a host with several they would have been refused.

--- a/crates/fronts/dns/src/client.rs
+++ b/crates/fronts/dns/src/client.rs
@@ -7,7 +7,7 @@
 use lynxtally_names::{Kind, Name, Serial};
 use std::fmt;
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpStream, UdpSocket};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -132,11 +132,19 @@
 
     /// Asks by datagram; a cut answer is asked for again over a connection.
     pub fn ask_by_datagram(&self, question: &Question) -> Result<Answered, Fault> {
+        self.ask_by_datagram_from(None, question)
+    }
+
+    /// The same from one of this machine's addresses, by which the other side knows us.
+    pub fn ask_by_datagram_from(&self, from: Option<IpAddr>, question: &Question) -> Result<Answered, Fault> {
         let mut signer = self.signer();
         let octets = question.write(signer.as_mut());
-        let any: SocketAddr =
-            if self.server.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0_u16; 8], 0).into() };
-        let socket = UdpSocket::bind(any)?;
+        let any: IpAddr = match self.server {
+            SocketAddr::V4(_) => Ipv4Addr::UNSPECIFIED.into(),
+            SocketAddr::V6(_) => Ipv6Addr::UNSPECIFIED.into(),
+        };
+        let from = from.filter(|from| from.is_ipv4() == self.server.is_ipv4());
+        let socket = UdpSocket::bind((from.unwrap_or(any), 0))?;
         socket.connect(self.server)?;
         socket.set_read_timeout(Some(self.patience))?;
         socket.send(&octets)?;
--- a/crates/fronts/dns/src/server.rs
+++ b/crates/fronts/dns/src/server.rs
@@ -30,7 +30,7 @@
 use nix::sys::time::TimeSpec;
 use rand::Rng;
 use std::collections::VecDeque;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::fd::AsFd;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -264,7 +264,7 @@
         zones.push(load(&mut folder, zone, &settings, now)?);
     }
     let ear = Ear::new()?;
-    let (sockets, listen) = open_sockets(&settings)?;
+    let (sockets, listeners, listen) = open_sockets(&settings)?;
     let alarm = Alarm::start().map_err(|fault| format!("a thread can't be started: {fault}"))?;
     let own = ear.clone();
     control::listen(&state, move |verb, answer| own.say(Heard::Control(verb, answer)))
@@ -272,8 +272,7 @@
     let own = ear.clone();
     let connections =
         Arc::new(Connections::new(settings.limits.connections, alarm, move |n| own.say(Heard::Tcp(n))));
-    for at in &listen {
-        let listener = crate::connection::listen(*at).map_err(|fault| format!("`listen`: {at}: {fault}"))?;
+    for listener in listeners {
         let all = connections.clone();
         spawn(
             STACK_WORDS,
@@ -337,17 +336,33 @@
     Ok(Running { ear, listen, end })
 }
 
-type Sockets = (Vec<Arc<UdpSocket>>, Vec<SocketAddr>);
+type Sockets = (Vec<Arc<UdpSocket>>, Vec<TcpListener>, Vec<SocketAddr>);
 
-/// Opens the sockets; where the port is 0, TCP takes the one that UDP got.
+/// So often another port is tried where the system is to choose one.
+const PORTS: usize = 16;
+
+/// Opens the sockets, UDP and TCP on the same port.
 fn open_sockets(settings: &Checked) -> Result<Sockets, String> {
-    let (mut sockets, mut listen) = (Vec::new(), Vec::new());
+    let mut all: Sockets = Default::default();
     for at in &settings.listen {
-        let socket = udp::open(*at).map_err(|fault| format!("`listen`: {at}: {fault}"))?;
-        listen.push(socket.local_addr().map_err(|fault| fault.to_string())?);
-        sockets.push(Arc::new(socket));
+        let open = || -> std::io::Result<_> {
+            let socket = udp::open(*at)?;
+            let own = socket.local_addr()?;
+            Ok((socket, crate::connection::listen(own)?, own))
+        };
+        let tries = if at.port() == 0 { PORTS } else { 1 };
+        let mut opened = open();
+        for _ in 1..tries {
+            if opened.is_err() {
+                opened = open();
+            }
+        }
+        let (socket, listener, own) = opened.map_err(|fault| format!("`listen`: {at}: {fault}"))?;
+        all.0.push(Arc::new(socket));
+        all.1.push(listener);
+        all.2.push(own);
     }
-    Ok((sockets, listen))
+    Ok(all)
 }
 
 /// Opens a state folder.
@@ -970,6 +985,8 @@
         for (target, serial) in due {
             let (ear, soa, apex) = (self.ear.clone(), soa.clone(), zone.settings.apex.clone());
             let (server, patience) = (zone.settings.notify[target], Duration::from_secs(2));
+            // A secondary knows its primary by the address at which it listens.
+            let from = Some(self.settings.listen[0].ip());
             let id = rand::rng().random();
             std::thread::spawn(move || {
                 let question = crate::codec::Question {
@@ -978,7 +995,7 @@
                     ..client::query(id, &apex, soa.kind)
                 };
                 let client = Client { server, key: None, patience };
-                if client.ask_by_datagram(&question).is_ok_and(|answered| answered.code == 0) {
+                if client.ask_by_datagram_from(from, &question).is_ok_and(|answered| answered.code == 0) {
                     ear.say(Heard::Noticed(at, target, serial));
                 }
             });
--- a/crates/fronts/dns/tests/stories.rs
+++ b/crates/fronts/dns/tests/stories.rs
@@ -238,8 +238,6 @@
     let follower_at =
         std::net::UdpSocket::bind((settings.listen[0].ip(), 0)).expect("a port").local_addr().expect("one");
     settings.zones[0].notify = vec![follower_at];
-    // Notices are taken from where the primary is: from this machine's own address here.
-    settings.listen = vec![([127, 0, 0, 1], 0).into()];
     let first = World::start(settings);
     let mut settings = secondary(&two, &[first.at]);
     settings.listen = vec![follower_at];
