--- a/crates/core/names/src/follow.rs
+++ b/crates/core/names/src/follow.rs
@@ -183,11 +183,6 @@
         let pause = retry.min(self.times.retry_most) * BACK_OFF.powi(round.min(16) as i32);
         self.due = now + pause.min(self.times.retry_most) * (0.5 + self.chance.unit());
     }
-
-    /// The first time after a failure, for tests and counters.
-    pub fn failures(&self) -> u32 {
-        self.failures
-    }
 }
 
 /// What a transfer brought.
--- a/crates/core/names/src/keeper.rs
+++ b/crates/core/names/src/keeper.rs
@@ -10,7 +10,7 @@
 use crate::lease::{Lapse, Leases, Limits as LeaseLimits};
 use crate::name::Name;
 use crate::serial::Serial;
-use crate::update::{finish, serial_after, Edit, Grant, Refusal, Update};
+use crate::update::{serial_after, Edit, Grant, Refusal, Update};
 use crate::zone::{Record, Zone};
 use lynxtally::{Instant, Span};
 use serde::{Deserialize, Serialize};
@@ -694,8 +694,3 @@
     let fit = form == FORM && all.iter().all(|record| zone.add(record).is_ok());
     fit.then_some(zone)
 }
-
-/// Numbers a version that an operator's tool made.
-pub fn number(old: &Zone, new: Zone) -> Option<(Zone, Change)> {
-    finish(old, new)
-}
--- a/crates/core/names/src/lookup.rs
+++ b/crates/core/names/src/lookup.rs
@@ -2,7 +2,7 @@
 //! names that are not there by RFC 2308. All of an answer comes from one version.
 
 use crate::kind::{replace_end, Kind};
-use crate::name::{Name, Starts};
+use crate::name::Starts;
 use crate::zone::{unpack, Node, Set, Zone};
 use smallvec::SmallVec;
 use std::borrow::Cow;
@@ -189,15 +189,3 @@
         }
     }
 }
-
-/// The apex of the zone that answers for a name: the longest of those it is in.
-pub fn zone_for<'a, Z>(zones: &'a std::collections::BTreeMap<Name, Z>, name: &Name) -> Option<&'a Z> {
-    let mut at = Some(name.clone());
-    while let Some(name) = at {
-        if let Some(zone) = zones.get(&name) {
-            return Some(zone);
-        }
-        at = name.parent();
-    }
-    None
-}
--- a/crates/core/names/src/zone.rs
+++ b/crates/core/names/src/zone.rs
@@ -1,7 +1,7 @@
 //! A zone is an immutable version. A change makes the next one, which shares with it all that did not change.
 
 use crate::kind::Kind;
-use crate::name::{labels, within, Name, Starts};
+use crate::name::{within, Name, Starts};
 use crate::serial::Serial;
 use crate::tree::{Children, Cursor};
 use serde::{Deserialize, Serialize};
@@ -509,8 +509,3 @@
 fn each_dyn<'a>(node: &'a Node, name: &Name, visit: &mut dyn FnMut(&Name, &'a [Set])) {
     each(node, name, &mut |name: &Name, sets: &'a [Set]| visit(name, sets));
 }
-
-/// Whether a name in wire form begins with the wildcard's label.
-pub fn is_wildcard(name: &[u8]) -> bool {
-    labels(name).next() == Some(b"*")
-}
