Uploads that dropped are gone on with, also after a restart of ours

Need: a tractor's upload over a bad link must not begin anew with each drop, nor be lost with a restart of the server.

Change: crates/core/flow/uploads.rs says who holds an upload, how far it is, what a customer may keep and when one is forgotten; the front archives what comes on a thread of its own, notes it durably before a client is told, and passes a whole upload on from there (draft-ietf-httpbis-resumable-upload-05, interop version 6). The folder on a disk moves from the names server to lynxtally-wire.

--- a/crates/core/flow/src/lib.rs
+++ b/crates/core/flow/src/lib.rs
@@ -1,7 +1,7 @@
 //! The choices about long streams, without I/O: how much memory each may hold ([`Pool`]), whose octets go next on a
 //! scarce link ([`Link`], [`Order`]), what progress is owed ([`Progress`]), which upstream takes the next stream
 //! ([`Upstreams`]), when a stream may be repeated ([`Repeats`], [`Spools`]) or gone on with ([`resume`]), how its body is
-//! coded ([`coding`]), and how much it is expected to move ([`Sizes`]).
+//! coded ([`coding`]), how much it is expected to move ([`Sizes`]), and how uploads are gone on with ([`uploads`]).
 
 #![forbid(unsafe_code)]
 
@@ -14,6 +14,7 @@
 pub mod resume;
 mod sizes;
 mod spools;
+pub mod uploads;
 mod upstreams;
 
 pub use link::Link;
--- a/crates/core/flow/tests/choices.rs
+++ b/crates/core/flow/tests/choices.rs
@@ -260,6 +260,64 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 128, failure_persistence: None, ..ProptestConfig::default() })]
 
+    /// Whatever happens to uploads: what a log tells after a restart is what stood there, and no bound is passed.
+    #[test]
+    fn uploads_are_after_a_restart_what_their_log_tells(steps in proptest::collection::vec((0..6_u8, 0..5_u64, 0..400_u64), 1..200)) {
+        use uploads::{Refused, Upload, UploadLimits, Uploads};
+        let limits = UploadLimits { each: 1000, all: 2000, keep: 50 };
+        let (mut all, mut log, mut holders) = (Uploads::new(limits), Vec::new(), std::collections::BTreeMap::new());
+        for (now, (what, id, octets)) in steps.into_iter().enumerate() {
+            let now = now as u64;
+            match what {
+                0 => {
+                    let customer = format!("c{}", id % 2);
+                    let length = (octets % 2 == 0).then_some(octets);
+                    let upload = Upload { customer, what: vec![1], length, offset: 0, sum: 0, touched: now, whole: false };
+                    if let Ok((entry, holder)) = all.begin(id, upload) {
+                        log.push(entry);
+                        holders.insert(id, holder);
+                    }
+                }
+                1 => {
+                    let offset = all.get(id).map(|upload| upload.offset);
+                    match all.go_on(id, octets) {
+                        Ok(holder) => {
+                            prop_assert_eq!(offset, Some(octets));
+                            // Whoever had it before can't move it any more.
+                            let old = holders.insert(id, holder).unwrap_or(0);
+                            prop_assert_eq!(all.grow(id, old, 1, 1, now), Err(Refused::Taken));
+                        }
+                        Err(Refused::Offset(at)) => prop_assert_eq!(offset, Some(at)),
+                        Err(refused) => prop_assert!(offset.is_none() && refused == Refused::Unknown),
+                    }
+                }
+                2 | 3 => {
+                    let holder = holders.get(&id).copied().unwrap_or(0);
+                    let before = all.get(id).cloned();
+                    if all.grow(id, holder, octets, 7, now).is_err() {
+                        prop_assert_eq!(all.get(id), before.as_ref(), "refused, and moved all the same");
+                    }
+                    log.extend(all.moved(id));
+                }
+                4 => log.extend(all.gone(id)),
+                _ => {
+                    for id in all.aged(now) {
+                        log.extend(all.gone(id));
+                    }
+                }
+            }
+            prop_assert!(all.sum() <= 2000);
+            let sum: u64 = all.ids().iter().filter_map(|id| all.get(*id)).map(|u| u.offset.max(u.length.unwrap_or(0))).sum();
+            prop_assert_eq!(all.sum(), sum);
+        }
+        let mut again = Uploads::new(limits);
+        log.into_iter().for_each(|entry| again.replay(entry));
+        prop_assert_eq!(again.snapshot(), all.snapshot());
+        let mut from_snapshot = Uploads::new(limits);
+        all.snapshot().into_iter().for_each(|entry| from_snapshot.replay(entry));
+        prop_assert_eq!(from_snapshot.snapshot(), all.snapshot());
+    }
+
     /// Whatever the order of reads, writes, stalls, comings and goings: the budget is never passed, and any stream
     /// that passes on what it holds can go on.
     #[test]
--- a/crates/fronts/stream/src/front.rs
+++ b/crates/fronts/stream/src/front.rs
@@ -1,11 +1,13 @@
 //! The thin driver: a coroutine for each client's connection, one for each connection to an upstream. Either of the two
 //! carries on a stream, both ways, as far as it goes, and then waits on its own socket; what is decided is the owner's.
 
+use crate::archive::{Archive, Awaited};
 use crate::http::{Asked, Bad, Framing, Own, HEAD_MOST};
 use crate::owner::{Entering, Moved, Owner, Rooms, Ticket};
 use crate::relay::{Fault, Relay};
 use crate::settings::Checked;
 use lynxtally::Span;
+use lynxtally_flow::uploads::UploadId;
 use lynxtally_flow::Sent;
 use lynxtally_host::{Answer, Decide, RunEnd};
 use lynxtally_wire::alarm::Alarm;
@@ -45,20 +47,24 @@
 pub struct Front<P> {
     /// The owner of all streams.
     pub owner: Mutex<Owner<P>>,
-    settings: Checked,
+    pub(crate) settings: Checked,
     clock: Clock,
     seats: Seats<Arc<Latch>>,
     /// The listeners.
     pub gate: Gate,
     alarm: Alarm,
     turnstile: Turnstile,
-    scratch: Mutex<Vec<u8>>,
+    pub(crate) scratch: Mutex<Vec<u8>>,
+    /// Uploads that can be gone on with.
+    pub archive: Option<Arc<Archive>>,
     own: Weak<Self>,
 }
 
 /// How a client's connection goes on.
-enum Next {
+pub(crate) enum Next {
+    /// With its next message.
     Message,
+    /// It ends.
     Close(End),
 }
 
@@ -81,8 +87,19 @@
     Gone(End),
 }
 
+/// A body that comes from the archive, not from the client.
+pub(crate) struct Source {
+    pub archive: Arc<Archive>,
+    pub id: UploadId,
+    pub at: u64,
+    pub end: u64,
+    pub ready: Vec<u8>,
+    pub awaited: Option<Awaited>,
+}
+
 struct Inner {
     relay: Relay,
+    source: Option<Source>,
     /// What came from the client and is not used yet.
     left: Vec<u8>,
     upstream: Option<Arc<Socket>>,
@@ -118,7 +135,13 @@
 
 impl<P: Decide + Send + 'static> Front<P> {
     /// A front with these settings.
-    pub fn new(settings: Checked, owner: Owner<P>, alarm: Alarm, turnstile: Turnstile) -> Arc<Self> {
+    pub fn new(
+        settings: Checked,
+        owner: Owner<P>,
+        alarm: Alarm,
+        turnstile: Turnstile,
+        archive: Option<Arc<Archive>>,
+    ) -> Arc<Self> {
         Arc::new_cyclic(|own| Self {
             owner: Mutex::new(owner),
             clock: Clock::default(),
@@ -127,6 +150,7 @@
             alarm,
             turnstile,
             scratch: Mutex::new(vec![0; SCRATCH]),
+            archive,
             settings,
             own: own.clone(),
         })
@@ -217,7 +241,13 @@
                 }
             };
             self.seats.stand(number, false);
-            match self.stream(socket, from, asked, &mut came) {
+            let next = match &self.archive {
+                Some(archive) if self.is_upload(&asked) => {
+                    self.upload(archive, socket, from, asked, &mut came)
+                }
+                _ => self.stream(socket, from, asked, &mut came),
+            };
+            match next {
                 Next::Message => {}
                 Next::Close(end) => return end,
             }
@@ -273,7 +303,7 @@
     }
 
     /// Writes a last answer, and reads on for a while so that it is not lost with what the client still sends.
-    fn last_words(&self, socket: &Arc<Socket>, out: &[u8]) -> End {
+    pub(crate) fn last_words(&self, socket: &Arc<Socket>, out: &[u8]) -> End {
         let limits = &self.settings.limits;
         let until = Instant::now() + Duration::from_millis(limits.rest_ms);
         let waker = socket.waker();
@@ -331,9 +361,29 @@
             }
         };
         let ticket = Arc::new(Ticket::new(stage, socket.waker()));
+        let entering = Entering { customer, mark, told, caller: caller(from) };
+        if !self.with(|owner, now| owner.enter(now, &ticket, entering)) {
+            let mut out = Vec::new();
+            Own::new(503, "not taken").write(&mut out, true, false);
+            return Next::Close(self.last_words(socket, &out));
+        }
+        self.exchange(socket, &ticket, relay, None, told, came)
+    }
+
+    /// Carries one stream, from its entry to its end.
+    pub(crate) fn exchange(
+        self: &Arc<Self>,
+        socket: &Arc<Socket>,
+        ticket: &Arc<Ticket>,
+        relay: Relay,
+        source: Option<Source>,
+        told: Option<u64>,
+        came: &mut Vec<u8>,
+    ) -> Next {
         let exchange = Arc::new(Exchange {
             inner: Mutex::new(Inner {
                 relay,
+                source,
                 left: std::mem::take(came),
                 upstream: None,
                 up_closed: false,
@@ -349,12 +399,6 @@
             ticket: ticket.clone(),
             upstream: Mutex::default(),
         });
-        let entering = Entering { customer, mark, told, caller: caller(from) };
-        if !self.with(|owner, now| owner.enter(now, &ticket, entering)) {
-            let mut out = Vec::new();
-            Own::new(503, "not taken").write(&mut out, true, false);
-            return Next::Close(self.last_words(socket, &out));
-        }
         let mut begun = false;
         let over = loop {
             if ticket.running() && !std::mem::replace(&mut begun, true) {
@@ -385,6 +429,8 @@
             upstream.break_off();
         }
         let well = inner.relay.reply().map(|reply| reply.status < 500);
+        let answered = well.is_some() && inner.relay.answer_whole();
+        let effect = lock(&self.owner).effect(ticket);
         let copy = inner.relay.copy();
         *came = std::mem::take(&mut inner.left);
         let next = match over {
@@ -398,6 +444,15 @@
         };
         drop(inner);
         exchange.wake_upstream();
+        let mut inner = lock(&exchange.inner);
+        if let Some(source) = inner.source.take() {
+            // Sent up in part and not answered, only what may be done again is kept.
+            let again = effect == lynxtally::Effect::Restartable || inner.sent_up == 0;
+            if !again || (answered && well == Some(true)) {
+                source.archive.forget(source.id);
+            }
+        }
+        drop(inner);
         self.with(|owner, now| match over {
             Over::Answered if ticket.running() => {
                 owner.let_go(now, ticket, well);
@@ -580,6 +635,9 @@
             }
             return step;
         }
+        if inner.source.is_some() {
+            return step + self.draw(exchange, inner, room);
+        }
         if inner.relay.wants_client() {
             if room == 0 {
                 return step;
@@ -653,6 +711,48 @@
         step
     }
 
+    /// From the archive to the upstream; tells how many octets moved.
+    fn draw(&self, exchange: &Exchange, inner: &mut Inner, room: usize) -> usize {
+        if exchange.client.broken() {
+            inner.over = Some(Over::Gone(End::Reset));
+        }
+        let Some(source) = inner.source.as_mut().filter(|_| room > 0 && inner.relay.wants_client()) else {
+            return 0;
+        };
+        if let Some(done) = source.awaited.as_ref().and_then(Awaited::take) {
+            source.awaited = None;
+            match done {
+                Ok(octets) if !octets.is_empty() => {
+                    source.at += octets.len() as u64;
+                    source.ready = octets;
+                }
+                // The disk gives less than it was given: the body can't be whole, and must not look so.
+                _ => {
+                    (inner.failed, inner.up_ended) = (Some(End::Failed), true);
+                    return 0;
+                }
+            }
+        }
+        if source.ready.is_empty() {
+            if source.awaited.is_none() && source.at < source.end {
+                let most = (source.end - source.at).min(usize::MAX as u64) as usize;
+                let ticket = exchange.ticket.clone();
+                let read = source.archive.read(source.id, source.at, most, move || ticket.wake());
+                source.awaited = Some(read);
+            }
+            return 0;
+        }
+        let rest = source.ready.split_off(room.min(source.ready.len()));
+        let octets = std::mem::replace(&mut source.ready, rest);
+        match inner.relay.from_client(&octets, room) {
+            Ok(_) => octets.len(),
+            Err(fault) => {
+                self.fault(inner, fault);
+                0
+            }
+        }
+    }
+
     /// From the upstream to the client; tells how many octets moved.
     fn go_down(
         &self,
@@ -845,7 +945,7 @@
 }
 
 /// A number for a client's machine.
-fn caller(from: IpAddr) -> u64 {
+pub(crate) fn caller(from: IpAddr) -> u64 {
     match from {
         IpAddr::V4(from) => u64::from(u32::from(from)),
         IpAddr::V6(from) => (u128::from(from) >> 64) as u64,
--- a/crates/fronts/stream/src/lib.rs
+++ b/crates/fronts/stream/src/lib.rs
@@ -4,6 +4,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod archive;
 pub mod body;
 pub mod coder;
 pub mod front;
@@ -12,4 +13,5 @@
 pub mod relay;
 pub mod server;
 pub mod settings;
+pub mod uploading;
 pub mod way;
--- a/crates/fronts/stream/src/server.rs
+++ b/crates/fronts/stream/src/server.rs
@@ -1,5 +1,6 @@
 //! A server: listeners, the front behind them, and how it leaves.
 
+use crate::archive::Archive;
 use crate::front::Front;
 use crate::owner::Owner;
 use crate::settings::Checked;
@@ -20,6 +21,8 @@
 const STACK_WORDS: usize = 0x10000;
 /// How often connections are swept and the leaving is looked at.
 const SWEEP: Duration = Duration::from_millis(100);
+/// Every so many times it looks for uploads that nobody goes on with.
+const AGED: u64 = 100;
 /// While it leaves it looks more often.
 const LEAVING: Duration = Duration::from_millis(10);
 /// The owner is told that the kill comes after this part of the time: the rest is for the last words to go out.
@@ -68,7 +71,8 @@
     let turnstile = Turnstile::start().map_err(|fault| format!("a coroutine can't be started: {fault}"))?;
     let owner = Owner::new(&settings, now, decide(&settings, now), rand::rng().random());
     let (stop, at) = (settings.stop, settings.listen.clone());
-    let front = Front::new(settings, owner, alarm, turnstile);
+    let archive = settings.state.as_ref().map(|path| Archive::open(path, settings.uploads)).transpose()?;
+    let front = Front::new(settings, owner, alarm, turnstile, archive);
     let mut listening = Vec::new();
     for at in at {
         let listener = listen(at).map_err(|fault| format!("`listen`: {at}: {fault}"))?;
@@ -100,7 +104,7 @@
 /// answered: nobody who came to a listening server is left without a word.
 fn watch<P: Decide + Send + 'static>(front: &Arc<Front<P>>, heard: &Receiver<Heard>, stop: Duration) {
     let stop = Span::from_micros(stop.as_micros() as u64) * TOLD;
-    let (mut gone, mut wait) = (false, SWEEP);
+    let (mut gone, mut wait, mut turns) = (false, SWEEP, 0_u64);
     loop {
         match heard.recv_timeout(wait) {
             Ok(Heard::Leave) => {
@@ -118,6 +122,10 @@
         }
         let (kill, open, now) = front.with(|owner, now| (owner.kill(), owner.tally().open, now));
         front.sweep(kill.is_some());
+        turns += 1;
+        if let Some(archive) = front.archive.as_ref().filter(|_| turns % AGED == 0) {
+            archive.sweep();
+        }
         if let Some(kill) = kill {
             wait = LEAVING;
             if open == 0 || now >= kill {
--- a/crates/fronts/stream/src/settings.rs
+++ b/crates/fronts/stream/src/settings.rs
@@ -4,6 +4,7 @@
 use crate::relay::Plan;
 use lynxtally::{Below, Effect, FreeValue, Settings, Span, StageSettings};
 use lynxtally_flow::coding::{Coding, Growth};
+use lynxtally_flow::uploads::UploadLimits;
 use lynxtally_flow::{PoolLimits, ProgressLimits, UpstreamLimits};
 use lynxtally_settings::Fault;
 use serde::Deserialize;
@@ -288,6 +289,8 @@
     pub leave_out: UpstreamLimits,
     /// What repeats cost.
     pub repeats: Repeats,
+    /// What uploads that can be gone on with are held to.
+    pub uploads: UploadLimits,
     /// How long after the notice to leave the program is killed.
     pub stop: Duration,
 }
@@ -409,6 +412,11 @@
                 share: self.leave_out.share,
                 proven: self.leave_out.proven,
             },
+            uploads: UploadLimits {
+                each: limits.uploads_mb << 20,
+                all: limits.uploads_all_mb << 20,
+                keep: limits.uploads_s,
+            },
             listen: self.listen,
             upstreams: self.upstreams,
             state: self.state,
--- /dev/null
+++ b/crates/fronts/stream/src/uploading.rs
@@ -0,0 +1,504 @@
+//! Uploads that can be gone on with (draft-ietf-httpbis-resumable-upload-05): what comes is archived as it arrives, and
+//! what is whole goes up to an upstream from there. A connection that drops leaves the upload where it stands.
+
+use crate::archive::{unix_now, Archive, Awaited};
+use crate::coder::Coder;
+use crate::front::{caller, Front, Next, Source};
+use crate::http::{Asked, Bad, Framing, Own};
+use crate::owner::{Entering, Moved, Ticket};
+use crate::relay::Relay;
+use crate::way::Way;
+use lynxtally_flow::uploads::{Refused, Upload, UploadId};
+use lynxtally_host::{Answer, Decide, RunEnd};
+use lynxtally_wire::end::End;
+use lynxtally_wire::line::lock;
+use lynxtally_wire::socket::{Got, Socket};
+use rand::Rng;
+use std::fmt::Write;
+use std::net::IpAddr;
+use std::sync::Arc;
+
+/// Under this path uploads are known to their clients.
+const PLACE: &str = "/.uploads/";
+/// Room for framing beside what is read.
+const FRAMING: u64 = 64;
+
+fn place(id: UploadId) -> String {
+    format!("{PLACE}{id:016x}")
+}
+
+fn id(path: &str) -> Option<UploadId> {
+    let text = path.strip_prefix(PLACE)?;
+    let plain = text.len() == 16 && text.bytes().all(|octet| octet.is_ascii_hexdigit());
+    plain.then(|| UploadId::from_str_radix(text, 16).ok())?
+}
+
+/// How what was sent by one message came to an end.
+enum Stored {
+    /// All of the message is here.
+    Whole,
+    /// An answer of our own is owed.
+    Own(Own),
+    /// The client is gone.
+    Gone(End),
+}
+
+/// What is done with an upload by one message.
+struct Doing<'a> {
+    archive: &'a Arc<Archive>,
+    socket: &'a Arc<Socket>,
+    ticket: &'a Arc<Ticket>,
+    id: UploadId,
+    holder: u64,
+    sum: u32,
+}
+
+fn refused(refused: Refused, stands: Option<(u64, bool)>) -> Own {
+    let bad = match refused {
+        Refused::Unknown => Bad::Upload,
+        Refused::Offset(_) | Refused::Taken => Bad::Offset,
+        Refused::Long => Bad::BodyLarge,
+        Refused::Quota => Bad::Quota,
+    };
+    Own { stands, ..Own::bad(bad) }
+}
+
+impl<P: Decide + Send + 'static> Front<P> {
+    /// Whether a message begins an upload that can be gone on with, or is about one.
+    pub(crate) fn is_upload(&self, asked: &Asked) -> bool {
+        let begins = asked.seen.upload.complete.is_some()
+            && matches!(asked.method.as_str(), "POST" | "PUT")
+            && self.settings.stage(asked).is_ok_and(|stage| self.settings.stages[stage].resumable);
+        begins || asked.path().starts_with(PLACE)
+    }
+
+    /// Answers with words of our own, and ends the connection where something of the body is still to come.
+    fn say(&self, socket: &Arc<Socket>, asked: &Asked, own: &Own, whole: bool) -> Next {
+        let last = asked.last() || !whole;
+        let mut out = Vec::new();
+        own.write(&mut out, last, asked.method == "HEAD");
+        if last {
+            return Next::Close(self.last_words(socket, &out));
+        }
+        match self.put(socket, &out) {
+            Ok(()) => Next::Message,
+            Err(end) => Next::Close(end),
+        }
+    }
+
+    fn put(&self, socket: &Arc<Socket>, mut out: &[u8]) -> Result<(), End> {
+        loop {
+            let written = socket.write(out)?;
+            out = &out[written..];
+            if out.is_empty() {
+                return Ok(());
+            }
+            socket.wait();
+        }
+    }
+
+    /// Takes a message about an upload.
+    pub(crate) fn upload(
+        self: &Arc<Self>,
+        archive: &Arc<Archive>,
+        socket: &Arc<Socket>,
+        from: IpAddr,
+        asked: Asked,
+        came: &mut Vec<u8>,
+    ) -> Next {
+        let whole = asked.framing == Framing::Empty;
+        let bad = |bad: Bad| {
+            lock(&self.owner).hall.counts.bad += 1;
+            self.say(socket, &asked, &Own::bad(bad), whole)
+        };
+        let known = id(asked.path());
+        let stage = match (known, asked.path().starts_with(PLACE)) {
+            (None, true) => return bad(Bad::Upload),
+            (None, false) => self.settings.stage(&asked),
+            // What goes on with one is of the stage that it began in.
+            (Some(id), _) if asked.method == "PATCH" => {
+                let what = lock(&archive.uploads).get(id).map(|upload| upload.what.clone());
+                let began = what.as_deref().and_then(|what| Asked::read(what).ok().flatten());
+                began.ok_or(Bad::Upload).and_then(|(began, _)| self.settings.stage(&began))
+            }
+            (Some(_), _) => Ok(self.settings.asking()),
+        };
+        let stage = match stage {
+            Ok(stage) => stage,
+            Err(what) => return bad(what),
+        };
+        let told = match asked.framing {
+            Framing::Length(length) => Some(length),
+            _ => None,
+        };
+        let ticket = Arc::new(Ticket::new(stage, socket.waker()));
+        let customer = self.settings.customer(&asked);
+        let mark = asked.seen.mark.clone().or_else(|| known.map(place));
+        let entering =
+            Entering { customer, mark: mark.filter(|_| known.is_none()), told, caller: caller(from) };
+        if !self.with(|owner, now| owner.enter(now, &ticket, entering)) {
+            return self.say(socket, &asked, &Own::new(503, "not taken"), whole);
+        }
+        // Nothing is read before the module has let it in.
+        while !ticket.running() {
+            if let Some(answer) = ticket.answer() {
+                return self.say(socket, &asked, &owed(&answer, None), whole);
+            }
+            if socket.broken() {
+                self.with(|owner, now| owner.gone(now, &ticket));
+                return Next::Close(End::Reset);
+            }
+            socket.wait();
+        }
+        match (known, asked.method.as_str()) {
+            (Some(id), "PATCH") => self.go_on(archive, socket, &ticket, id, &asked, came),
+            (Some(id), method) => {
+                let own = match method {
+                    // Whoever still sends must not move what is told now.
+                    "HEAD" | "GET" => match lock(&archive.uploads).hold(id) {
+                        Ok(_) => None,
+                        Err(what) => Some(refused(what, None)),
+                    },
+                    "DELETE" if lock(&archive.uploads).get(id).is_some() => {
+                        archive.forget(id);
+                        Some(Own::new(204, ""))
+                    }
+                    "DELETE" => Some(Own::bad(Bad::Upload)),
+                    _ => Some(Own::bad(Bad::Method)),
+                };
+                let own = own.unwrap_or_else(|| match self.durable(archive, socket, id) {
+                    Ok(()) => Own { stands: stands(archive, id), ..Own::new(204, "") },
+                    Err(what) => Own::new(500, what),
+                });
+                self.with(|owner, now| owner.ended(now, &ticket, RunEnd::Finished(Vec::new())));
+                self.say(socket, &asked, &own, whole)
+            }
+            (None, _) => self.begin(archive, socket, &ticket, &asked, came),
+        }
+    }
+
+    /// One begins.
+    fn begin(
+        self: &Arc<Self>,
+        archive: &Arc<Archive>,
+        socket: &Arc<Socket>,
+        ticket: &Arc<Ticket>,
+        asked: &Asked,
+        came: &mut Vec<u8>,
+    ) -> Next {
+        let id = rand::rng().random::<UploadId>();
+        let complete = asked.seen.upload.complete == Some(true);
+        let length = asked.seen.upload.length.or(match asked.framing {
+            Framing::Length(length) if complete => Some(length),
+            Framing::Empty if complete => Some(0),
+            _ => None,
+        });
+        let customer = self.settings.customer_field.as_deref().and_then(|field| asked.field(field));
+        let upload = Upload {
+            customer: customer.map(|name| String::from_utf8_lossy(name).into_owned()).unwrap_or_default(),
+            what: keep(asked),
+            length,
+            offset: 0,
+            sum: 0,
+            touched: unix_now(),
+            whole: false,
+        };
+        let begun = lock(&archive.uploads).begin(id, upload);
+        let (entry, holder) = match begun {
+            Ok(begun) => begun,
+            Err(what) => {
+                return self.end(socket, ticket, asked, &refused(what, None), RunEnd::NeverRan(HOLD_OFF))
+            }
+        };
+        let waker = socket.waker();
+        if let Err(what) = self.await_it(socket, &archive.note(entry, move || waker.wakeup())) {
+            lock(&archive.uploads).gone(id);
+            return self.end(socket, ticket, asked, &Own::new(500, what), RunEnd::Failed);
+        }
+        let mut out = Vec::new();
+        if !asked.old {
+            Own { place: Some(place(id)), ..Own::new(104, "") }.write(&mut out, false, true);
+        }
+        if let Err(end) = self.put(socket, &out) {
+            self.with(|owner, now| owner.gone(now, ticket));
+            return Next::Close(end);
+        }
+        let doing = Doing { archive, socket, ticket, id, holder, sum: 0 };
+        self.store(doing, asked, came, 201)
+    }
+
+    /// One is gone on with.
+    fn go_on(
+        self: &Arc<Self>,
+        archive: &Arc<Archive>,
+        socket: &Arc<Socket>,
+        ticket: &Arc<Ticket>,
+        id: UploadId,
+        asked: &Asked,
+        came: &mut Vec<u8>,
+    ) -> Next {
+        let upload = asked.seen.upload;
+        let (Some(offset), Some(complete)) = (upload.offset, upload.complete) else {
+            let bad = Bad::Field(if upload.offset.is_none() { "Upload-Offset" } else { "Upload-Complete" });
+            return self.end(socket, ticket, asked, &Own::bad(bad), RunEnd::NeverRan(HOLD_OFF));
+        };
+        if asked.seen.kind != "application/partial-upload" {
+            return self.end(socket, ticket, asked, &Own::bad(Bad::Coding), RunEnd::NeverRan(HOLD_OFF));
+        }
+        let told = upload.length.or(match asked.framing {
+            Framing::Length(length) if complete => offset.checked_add(length),
+            Framing::Empty if complete => Some(offset),
+            _ => None,
+        });
+        let mut uploads = lock(&archive.uploads);
+        let held = uploads.go_on(id, offset).and_then(|holder| {
+            told.map_or(Ok(()), |length| uploads.tell_length(id, length)).map(|()| holder)
+        });
+        let sum = uploads.get(id).map_or(0, |upload| upload.sum);
+        drop(uploads);
+        match held {
+            Ok(holder) => {
+                let doing = Doing { archive, socket, ticket, id, holder, sum };
+                self.store(doing, asked, came, 204)
+            }
+            Err(what) => {
+                let own = refused(what, stands(archive, id));
+                self.end(socket, ticket, asked, &own, RunEnd::NeverRan(HOLD_OFF))
+            }
+        }
+    }
+
+    /// Ends a run with words of our own.
+    fn end(&self, socket: &Arc<Socket>, ticket: &Arc<Ticket>, asked: &Asked, own: &Own, end: RunEnd) -> Next {
+        self.with(|owner, now| owner.ended(now, ticket, end));
+        self.say(socket, asked, own, asked.framing == Framing::Empty)
+    }
+
+    /// Waits for the archive.
+    fn await_it(&self, socket: &Arc<Socket>, awaited: &Awaited) -> Result<Vec<u8>, String> {
+        loop {
+            match awaited.take() {
+                Some(done) => return done,
+                None => socket.wait(),
+            }
+        }
+    }
+
+    /// Waits until what is told of an upload lasts.
+    fn durable(&self, archive: &Arc<Archive>, socket: &Arc<Socket>, id: UploadId) -> Result<(), String> {
+        let Some(entry) = lock(&archive.uploads).moved(id) else { return Ok(()) };
+        let waker = socket.waker();
+        self.await_it(socket, &archive.note(entry, move || waker.wakeup())).map(drop)
+    }
+
+    /// Archives what one message brings; then answers how far the upload is or, where it is whole, passes it on.
+    fn store(self: &Arc<Self>, mut doing: Doing, asked: &Asked, came: &mut Vec<u8>, status: u16) -> Next {
+        let (archive, socket, ticket, id) = (doing.archive, doing.socket, doing.ticket, doing.id);
+        let mut way = Way::new(asked.framing, Framing::Close, Coder::plain());
+        let mut stored = self.take_in(&mut doing, &mut way, asked, came);
+        if let (Stored::Whole, Some(true)) = (&stored, asked.seen.upload.complete) {
+            match lock(&archive.uploads).complete(id, doing.holder) {
+                Ok(true) => {}
+                Ok(false) => {
+                    stored = Stored::Own(Own { stands: stands(archive, id), ..Own::bad(Bad::Length) })
+                }
+                Err(what) => stored = Stored::Own(refused(what, stands(archive, id))),
+            }
+        }
+        // However it went on: what is here lasts, before anybody is told of it.
+        let lasts = self.durable(archive, socket, id);
+        let own = match (stored, lasts) {
+            (Stored::Gone(end), _) => {
+                self.with(|owner, now| owner.gone(now, ticket));
+                return Next::Close(end);
+            }
+            (_, Err(what)) => Own::new(500, what),
+            (Stored::Own(own), _) => own,
+            (Stored::Whole, Ok(())) if asked.seen.upload.complete == Some(true) => {
+                return self.pass_on(archive, socket, ticket, id, came);
+            }
+            (Stored::Whole, Ok(())) => {
+                let place = (status == 201).then(|| place(id));
+                let own = Own { stands: stands(archive, id), place, ..Own::new(status, "") };
+                self.with(|owner, now| owner.ended(now, ticket, RunEnd::Finished(Vec::new())));
+                return self.say(socket, asked, &own, true);
+            }
+        };
+        self.with(|owner, now| owner.ended(now, ticket, RunEnd::Failed));
+        self.say(socket, asked, &own, way.whole())
+    }
+
+    fn take_in(&self, doing: &mut Doing, way: &mut Way, asked: &Asked, came: &mut Vec<u8>) -> Stored {
+        let (archive, socket, ticket, id) = (doing.archive, doing.socket, doing.ticket, doing.id);
+        let mut on_its_way: Option<(usize, Awaited)> = None;
+        if asked.seen.expects && asked.framing != Framing::Empty && came.is_empty() {
+            if let Err(end) = self.put(socket, crate::http::GO_ON) {
+                return Stored::Gone(end);
+            }
+        }
+        if let Err(bad) = way.begin() {
+            return Stored::Own(Own::bad(bad));
+        }
+        loop {
+            if let Some(answer) = ticket.answer() {
+                return Stored::Own(owed(&answer, stands(archive, id)));
+            }
+            let mut moved = Moved::default();
+            let mut step = false;
+            if let Some((octets, done)) =
+                on_its_way.as_ref().and_then(|(n, awaited)| Some((*n, awaited.take()?)))
+            {
+                on_its_way = None;
+                moved.up_took = octets as u64;
+                if let Err(what) = done {
+                    return Stored::Own(Own::new(500, what));
+                }
+            }
+            let rooms = lock(&self.owner).rooms(ticket);
+            let flying = on_its_way.as_ref().map_or(0, |(octets, _)| *octets as u64);
+            let room = rooms.up.saturating_sub(way.held() + flying + FRAMING) as usize;
+            if !way.whole() && room > 0 {
+                let octets = if came.is_empty() {
+                    let mut scratch = lock(&self.scratch);
+                    let most = room.min(scratch.len());
+                    match socket.read(&mut scratch[..most]) {
+                        Ok(Got::Octets(octets)) => scratch[..octets].to_vec(),
+                        Ok(Got::Nothing) => Vec::new(),
+                        Ok(Got::End) => return self.leave_off(doing, way, on_its_way, End::Truncated),
+                        Err(end) => return self.leave_off(doing, way, on_its_way, end),
+                    }
+                } else {
+                    came.drain(..came.len().min(room)).collect()
+                };
+                if !octets.is_empty() {
+                    step = true;
+                    moved.came = octets.len() as u64;
+                    match way.take(&octets, room) {
+                        Ok(used) => drop(came.splice(..0, octets[used..].iter().copied())),
+                        Err(bad) => return Stored::Own(Own { stands: stands(archive, id), ..Own::bad(bad) }),
+                    }
+                }
+            }
+            if on_its_way.is_none() && !way.out.is_empty() {
+                match self.archive_some(doing, way) {
+                    Ok(sent) => on_its_way = Some(sent),
+                    Err(what) => return Stored::Own(refused(what, stands(archive, id))),
+                }
+                step = true;
+            }
+            moved.up_held = way.held() + on_its_way.as_ref().map_or(0, |(octets, _)| *octets as u64);
+            moved.waits_client = !way.whole() && moved.up_held == 0;
+            self.with(|owner, now| owner.moved(now, ticket, moved));
+            if way.whole() && way.out.is_empty() && on_its_way.is_none() {
+                return Stored::Whole;
+            }
+            if !step {
+                socket.wait();
+            }
+        }
+    }
+
+    /// Hands what waits to the archive.
+    fn archive_some(&self, doing: &mut Doing, way: &mut Way) -> Result<(usize, Awaited), Refused> {
+        let octets = way.out.front().to_vec();
+        let sum = crc32c::crc32c_append(doing.sum, &octets);
+        let length = octets.len();
+        lock(&doing.archive.uploads).grow(doing.id, doing.holder, length as u64, sum, unix_now())?;
+        doing.sum = sum;
+        way.out.took(length);
+        let waker = doing.socket.waker();
+        Ok((length, doing.archive.append(doing.id, octets, move || waker.wakeup())))
+    }
+
+    /// The client dropped: what came of it is archived all the same.
+    fn leave_off(
+        &self,
+        doing: &mut Doing,
+        way: &mut Way,
+        on_its_way: Option<(usize, Awaited)>,
+        end: End,
+    ) -> Stored {
+        let mut last = on_its_way.map(|(_, awaited)| awaited);
+        if !way.out.is_empty() {
+            // Another may hold it by now: then it is that one's to bring them.
+            last = self.archive_some(doing, way).ok().map(|(_, awaited)| awaited).or(last);
+        }
+        if let Some(last) = last {
+            // A disk that fails is seen when the rest is noted.
+            let _ = self.await_it(doing.socket, &last);
+        }
+        Stored::Gone(end)
+    }
+
+    /// A whole upload goes up, from the archive.
+    fn pass_on(
+        self: &Arc<Self>,
+        archive: &Arc<Archive>,
+        socket: &Arc<Socket>,
+        ticket: &Arc<Ticket>,
+        id: UploadId,
+        came: &mut Vec<u8>,
+    ) -> Next {
+        let known = lock(&archive.uploads).get(id).map(|upload| (upload.what.clone(), upload.offset));
+        let asked = known.and_then(|(mut what, length)| {
+            // The head that was kept lacks only its end.
+            what.truncate(what.len() - 2);
+            what.extend_from_slice(format!("Content-Length: {length}\r\n\r\n").as_bytes());
+            Some((Asked::read(&what).ok()??.0, length))
+        });
+        let made = asked.ok_or(Bad::Upload).and_then(|(asked, length)| {
+            let stage = self.settings.stage(&asked)?;
+            Ok((Relay::new(asked, self.settings.stages[stage].plan.clone())?, length))
+        });
+        match made {
+            Ok((relay, end)) => {
+                let source =
+                    Source { archive: archive.clone(), id, at: 0, end, ready: Vec::new(), awaited: None };
+                self.exchange(socket, ticket, relay, Some(source), Some(end), came)
+            }
+            Err(bad) => {
+                archive.forget(id);
+                self.with(|owner, now| owner.ended(now, ticket, RunEnd::Failed));
+                let mut out = Vec::new();
+                Own::bad(bad).write(&mut out, true, false);
+                Next::Close(self.last_words(socket, &out))
+            }
+        }
+    }
+}
+
+/// When one that was refused for what it is may come again.
+const HOLD_OFF: lynxtally::Span = lynxtally::Span::from_millis(1000);
+
+fn stands(archive: &Archive, id: UploadId) -> Option<(u64, bool)> {
+    lock(&archive.uploads).get(id).map(|upload| (upload.offset, upload.whole))
+}
+
+/// What a client is told that was not let in, or whose time ran out.
+fn owed(answer: &Answer, stands: Option<(u64, bool)>) -> Own {
+    match answer {
+        Answer::Rejected { hold_off, .. } => {
+            let back_in = Some((hold_off.secs().ceil() as u64).max(1));
+            Own { back_in, stands, ..Own::new(503, "not taken; nothing of it was done") }
+        }
+        // Where it stands it can be gone on with.
+        _ => Own { back_in: Some(1), stands, ..Own::new(503, "not done in time") },
+    }
+}
+
+/// What is kept of the message that began an upload: all that its upstream is to see, but for the body's length.
+fn keep(asked: &Asked) -> Vec<u8> {
+    let mut text = String::new();
+    let _ = write!(text, "{} {} HTTP/1.1\r\n", asked.method, asked.target);
+    let mut what = text.into_bytes();
+    for (name, value) in &asked.fields {
+        if !name.to_ascii_lowercase().starts_with("upload-") {
+            what.extend_from_slice(name.as_bytes());
+            what.extend_from_slice(b": ");
+            what.extend_from_slice(value);
+            what.extend_from_slice(b"\r\n");
+        }
+    }
+    what.extend_from_slice(b"\r\n");
+    what
+}
--- a/crates/fronts/wire/src/lib.rs
+++ b/crates/fronts/wire/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod alarm;
 pub mod clock;
 pub mod end;
+pub mod folder;
 pub mod gate;
 pub mod line;
 pub mod seats;
