--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 #![forbid(unsafe_code)]
 
+mod lab;
 mod names;
 mod streams;
 mod updates;
@@ -45,6 +46,9 @@
     /// Long bodies both ways, between clients and upstreams.
     #[command(subcommand)]
     Stream(streams::Verb),
+    /// Experiments on an emulated fleet.
+    #[command(subcommand)]
+    Lab(lab::Verb),
     /// Settings templates.
     #[command(subcommand)]
     Settings(SettingsVerb),
@@ -96,6 +100,7 @@
     let done = match arguments.noun {
         Noun::Names(verb) => names::run(verb, arguments.format),
         Noun::Stream(verb) => streams::run(verb),
+        Noun::Lab(verb) => lab::run(verb, arguments.format),
         Noun::Settings(verb) => settings(verb),
         Noun::Completion { shell } => {
             clap_complete::generate(shell, &mut Arguments::command(), "lynxtally", &mut std::io::stdout());
--- a/crates/core/flow/src/lib.rs
+++ b/crates/core/flow/src/lib.rs
@@ -18,13 +18,14 @@
 mod upstreams;
 
 pub use link::Link;
+pub use lynxtally_retry::OutlierLimits as UpstreamLimits;
 pub use order::Order;
 pub use pool::{Pool, PoolLimits};
 pub use progress::{Progress, ProgressLimits};
 pub use repeats::{Repeats, Sent};
 pub use sizes::Sizes;
 pub use spools::Spools;
-pub use upstreams::{UpstreamLimits, Upstreams};
+pub use upstreams::Upstreams;
 
 /// A stream's small index.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/core/flow/src/repeats.rs
+++ b/crates/core/flow/src/repeats.rs
@@ -2,6 +2,7 @@
 //! restartable and all that was sent is still at hand; and only while the budget, paid by successes, allows it.
 
 use lynxtally::Effect;
+use lynxtally_retry::Budget;
 
 /// How far a stream had come when its upstream failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,30 +19,23 @@
 
 /// The budget of all streams.
 #[derive(Clone, Copy, Debug)]
-pub struct Repeats {
-    successes: u32,
-    price: u32,
-    most: u32,
-}
+pub struct Repeats(Budget);
 
 impl Repeats {
     /// So many successes pay for a repeat; no more than `most` repeats are saved up, and so many there are at first.
     pub fn new(price: u32, most: u32) -> Self {
-        let most = price.saturating_mul(most);
-        Self { successes: most, price, most }
+        Self(Budget::new(price, most))
     }
 
     /// A stream ended well.
     pub fn succeeded(&mut self) {
-        self.successes = (self.successes + 1).min(self.most);
+        self.0.succeeded();
     }
 
     /// Whether a stream may be repeated; it is paid for then.
     pub fn may(&mut self, effect: Effect, sent: Sent) -> bool {
         let untouched = !sent.head && sent.octets == 0;
         let again = effect == Effect::Restartable && sent.held;
-        let may = !sent.answered && (untouched || again) && self.successes >= self.price;
-        self.successes -= if may { self.price } else { 0 };
-        may
+        !sent.answered && (untouched || again) && self.0.pay()
     }
 }
--- a/crates/core/flow/src/upstreams.rs
+++ b/crates/core/flow/src/upstreams.rs
@@ -4,21 +4,7 @@
 //! and comes back with few streams at first.
 
 use lynxtally::{Instant, Pcg, Span};
-
-/// What leaving out is held to.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct UpstreamLimits {
-    /// So many failures in a row leave an upstream out.
-    pub failures: u32,
-    /// For so long the first time; twice as long each time again.
-    pub out: Span,
-    /// And no longer than this.
-    pub out_most: Span,
-    /// No more than this share is left out at once.
-    pub share: f64,
-    /// One that came back takes one stream at a time until so many ended well.
-    pub proven: u32,
-}
+use lynxtally_retry::{OutlierLimits, Outliers};
 
 #[derive(Clone, Debug)]
 struct Upstream {
@@ -26,17 +12,12 @@
     streams: u32,
     /// Octets a second, learned; 0 where nothing is known.
     rate: f64,
-    failures: u32,
-    times_out: u32,
-    out_until: Option<Instant>,
-    /// Successes that are still wanted before it is trusted as the others are.
-    proving: u32,
 }
 
 /// The upstreams.
 #[derive(Clone, Debug)]
 pub struct Upstreams {
-    limits: UpstreamLimits,
+    outliers: Outliers,
     all: Vec<Upstream>,
     chance: Pcg,
 }
@@ -45,22 +26,13 @@
 
 impl Upstreams {
     /// So many, all well.
-    pub fn new(count: usize, limits: UpstreamLimits, seed: u64) -> Self {
-        let one = Upstream {
-            outstanding: 0,
-            streams: 0,
-            rate: 0.0,
-            failures: 0,
-            times_out: 0,
-            out_until: None,
-            proving: 0,
-        };
-        Self { limits, all: vec![one; count], chance: Pcg::new(seed) }
+    pub fn new(count: usize, limits: OutlierLimits, seed: u64) -> Self {
+        let one = Upstream { outstanding: 0, streams: 0, rate: 0.0 };
+        Self { outliers: Outliers::new(count, limits), all: vec![one; count], chance: Pcg::new(seed) }
     }
 
     fn fit(&self, now: Instant, n: usize) -> bool {
-        let one = &self.all[n];
-        one.out_until.is_none_or(|until| until <= now) && (one.proving == 0 || one.streams == 0)
+        !self.outliers.out(now, n) && (!self.outliers.on_trial(n) || self.all[n].streams == 0)
     }
 
     /// How long an upstream would take for what it has, in seconds; one that is not known is taken for the mean.
@@ -111,11 +83,7 @@
         one.streams = one.streams.saturating_sub(1);
         let rate = octets as f64 / took.secs().max(1e-6);
         one.rate = if one.rate > 0.0 { one.rate + (rate - one.rate) * GAIN } else { rate };
-        one.failures = 0;
-        one.proving = one.proving.saturating_sub(1);
-        if one.proving == 0 {
-            (one.times_out, one.out_until) = (0, None);
-        }
+        self.outliers.succeeded(n);
     }
 
     /// A stream ended by nobody's fault that is known: its client went, or its time ran out.
@@ -125,19 +93,7 @@
 
     /// A stream failed by the upstream's fault; tells whether it is left out from now on.
     pub fn failed(&mut self, now: Instant, n: usize) -> bool {
-        let left_out = self.all.iter().filter(|one| one.out_until.is_some_and(|until| until > now)).count();
-        let may = ((left_out + 1) as f64) <= self.all.len() as f64 * self.limits.share;
-        let UpstreamLimits { failures, out, out_most, proven, .. } = self.limits;
-        let one = &mut self.all[n];
-        one.streams = one.streams.saturating_sub(1);
-        one.failures += 1;
-        // One on trial has no second chance.
-        if !may || (one.failures < failures && one.proving == 0) {
-            return false;
-        }
-        let span = (out * f64::from(1_u32 << one.times_out.min(16))).min(out_most);
-        (one.out_until, one.failures, one.proving) = (Some(now + span), 0, proven);
-        one.times_out += 1;
-        true
+        self.ended(n);
+        self.outliers.failed(now, n)
     }
 }
--- a/crates/core/host/src/lib.rs
+++ b/crates/core/host/src/lib.rs
@@ -36,6 +36,16 @@
     }
 }
 
+impl<D: Decide + ?Sized> Decide for Box<D> {
+    fn on(&mut self, now: Instant, event: Event) {
+        (**self).on(now, event);
+    }
+
+    fn settle(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        (**self).settle(now, actions);
+    }
+}
+
 /// The final answer to a task.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
--- a/crates/fronts/stream/src/archive.rs
+++ b/crates/fronts/stream/src/archive.rs
@@ -125,10 +125,10 @@
     }
 
     fn send(&self, job: Job) {
-        if let Err(mpsc::SendError(job)) = self.jobs.send(job) {
-            if let Job::Append(.., tell) | Job::Read(.., tell) | Job::Note { tell, .. } = job {
-                tell(Err("the archive is closed".to_owned()));
-            }
+        if let Err(mpsc::SendError(Job::Append(.., tell) | Job::Read(.., tell) | Job::Note { tell, .. })) =
+            self.jobs.send(job)
+        {
+            tell(Err("the archive is closed".to_owned()));
         }
     }
 
--- /dev/null
+++ b/crates/lab/emulator/tests/worlds.rs
@@ -0,0 +1,216 @@
+//! The emulated fleet: the same run from the same seed, and broken policies that are caught by the rules.
+
+use lynxtally::{
+    Action, Below, Effect, Event, FreeValue, Instant, Policy, Settings, Span, StageSettings, TaskId,
+};
+use lynxtally_emulator::cores::Machine;
+use lynxtally_emulator::queue::Queue;
+use lynxtally_emulator::rules::Broken;
+use lynxtally_emulator::sidecar::{Again, Habit};
+use lynxtally_emulator::work::Work;
+use lynxtally_emulator::world::{Decides, Fault, Outcome, Scenario, Stage, Step, World};
+use lynxtally_host::Decide;
+use proptest::prelude::*;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+fn stage(utility: f64, effect: Effect) -> Stage {
+    let settings = StageSettings {
+        utility,
+        late_part: 0.0,
+        due: Span::from_millis(300),
+        limit: Span::from_millis(1000),
+        effect,
+        repeat_window: Span::ZERO,
+        calls: false,
+        skip_part: 0.0,
+    };
+    Stage { settings, share: 1.0, work: 0.02, spread: Work::Exponential }
+}
+
+fn scenario(nodes: usize, load: f64) -> Scenario {
+    let stages = vec![stage(1.0, Effect::Restartable), stage(5.0, Effect::SideEffecting)];
+    Scenario {
+        nodes,
+        machine: Machine {
+            cores: 2,
+            crowd: 4.0,
+            slope: 0.05,
+            cold: 0.2,
+            warm_after: Span::from_millis(2000),
+        },
+        settings: Settings {
+            cores: 2,
+            memory_kb: 1e5,
+            run_memory: 2.0,
+            key_kb: 1.0,
+            cold: false,
+            cold_share: 0.2,
+            warm_after: Span::from_millis(2000),
+            crowd_limit: 10.0,
+            drain_grace: Span::from_millis(400),
+            stages: stages.iter().map(|stage| stage.settings.clone()).collect(),
+            quotas: Vec::new(),
+            over_share: 1.0,
+            by_work: false,
+            backends: nodes as u32,
+            callers: 4,
+            depth: 0,
+            below: Below::Nothing,
+            stoppable: false,
+            free_value: FreeValue::Silent,
+            heeded: Span::from_millis(1000),
+            idle_after: Span::ZERO,
+            share_for: Span::ZERO,
+            hold_off: Span::ZERO,
+        },
+        stages,
+        load,
+        lasts: Span::from_secs(8.0),
+        warm_up: Span::from_secs(1.0),
+        sidecars: 4,
+        habit: Habit::TwoChoices,
+        again: Again::Budget(3, 5),
+        outliers: None,
+        delay: Span::from_millis(1),
+        script: vec![
+            Step { at: Span::from_secs(2.0), first: 0, count: 1, what: Fault::Crash },
+            Step { at: Span::from_secs(3.0), first: 0, count: 1, what: Fault::Restart },
+            Step { at: Span::from_secs(4.0), first: 1, count: 1, what: Fault::Slow(0.3) },
+            Step {
+                at: Span::from_secs(5.0),
+                first: 2,
+                count: 1,
+                what: Fault::Leave(Span::from_millis(1500)),
+            },
+            Step { at: Span::from_secs(5.5), first: 1, count: 1, what: Fault::Slow(1.0) },
+        ],
+    }
+}
+
+fn module(settings: &Settings, seed: u64, now: Instant) -> Decides {
+    Box::new(Policy::new(settings.clone(), seed, now))
+}
+
+fn run(scenario: &Scenario, make: &dyn Fn(&Settings, u64, Instant) -> Decides, seed: u64) -> Outcome {
+    World::new(scenario, make, seed).run().0
+}
+
+#[test]
+fn the_same_seed_is_the_same_run_and_keeps_all_rules_through_every_fault() {
+    for load in [0.6, 1.5] {
+        let scenario = scenario(4, load);
+        let one = run(&scenario, &module, 7);
+        assert_eq!(one, run(&scenario, &module, 7));
+        assert_eq!(one.rules.broken, [], "load {load}");
+        assert_ne!(one.events, run(&scenario, &module, 8).events);
+        assert!(one.service() > 0.5 && one.tasks > 500, "{one:?}");
+    }
+    let other = std::thread::spawn(|| run(&scenario(4, 1.5), &module, 7)).join().expect("it ends");
+    assert_eq!(other, run(&scenario(4, 1.5), &module, 7), "another thread, another run");
+}
+
+#[test]
+fn what_happened_to_a_task_is_told_from_its_birth_on() {
+    let scenario = scenario(4, 1.5);
+    let (_, told) = World::new(&scenario, &module, 7).explain(100).run();
+    assert!(told.len() >= 3 && told[0].contains("born") && told[1].contains("sent to node"), "{told:?}");
+}
+
+/// The module with something wrong with it.
+struct Bad {
+    inner: Policy,
+    what: Broken,
+    seen: u32,
+    rejected: BTreeMap<TaskId, ()>,
+}
+
+impl Decide for Bad {
+    fn on(&mut self, now: Instant, event: Event) {
+        if let (Broken::PastGrace, Event::Drain(_)) = (self.what, &event) {
+            return; // It never hears that it is to leave.
+        }
+        if let (Broken::Crowd, Event::Arrived(arrival)) = (self.what, &event) {
+            self.rejected.insert(arrival.task, ());
+            return;
+        }
+        if let (Broken::Crowd, Event::RunEnded(..) | Event::CallerGone(_)) = (self.what, &event) {
+            return;
+        }
+        self.inner.on(now, event);
+    }
+
+    fn settle(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let from = actions.len();
+        self.inner.settle(now, actions);
+        match self.what {
+            Broken::Lost => {
+                // One answer in a hundred is forgotten.
+                let mut n = from;
+                while n < actions.len() {
+                    if matches!(actions[n], Action::Reject { .. } | Action::Abandon(_)) {
+                        self.seen += 1;
+                        if self.seen.is_multiple_of(100) {
+                            actions.remove(n);
+                            continue;
+                        }
+                    }
+                    n += 1;
+                }
+            }
+            Broken::Twice => {
+                // What fails is told to have never run, so that it is tried again elsewhere, and runs all the same.
+                for n in from..actions.len() {
+                    if let Action::Run(task) = actions[n] {
+                        self.seen += 1;
+                        if self.seen.is_multiple_of(20) {
+                            let answer = Action::Reject { task, hold_off: Span::ZERO, terminal: false };
+                            actions.push(answer);
+                        }
+                    }
+                }
+            }
+            Broken::Crowd => {
+                let all = std::mem::take(&mut self.rejected);
+                actions.extend(all.into_keys().map(Action::Run));
+            }
+            Broken::PastGrace => {}
+        }
+    }
+}
+
+#[test]
+fn a_policy_that_breaks_a_rule_is_caught_in_one_run() {
+    for what in [Broken::Lost, Broken::Twice, Broken::PastGrace, Broken::Crowd] {
+        let make = move |settings: &Settings, seed, now| -> Decides {
+            let inner = Policy::new(settings.clone(), seed, now);
+            Box::new(Bad { inner, what, seen: 0, rejected: BTreeMap::new() })
+        };
+        let outcome = run(&scenario(4, 2.0), &make, 3);
+        assert!(outcome.rules.has(what), "{what} is not seen: {:?}", outcome.rules);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 128, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// The queue gives out what a plain heap does, of things due at once the first put in first.
+    #[test]
+    fn the_queue_is_a_heap_that_keeps_order(steps in proptest::collection::vec((any::<bool>(), 0..5000_u64), 1..400)) {
+        let (mut queue, mut heap, mut number, mut now) = (Queue::default(), BinaryHeap::new(), 0_u32, 0);
+        for (push, wait) in steps {
+            if push || heap.is_empty() {
+                let at = now + if wait % 7 == 0 { 0 } else { wait };
+                queue.push(at, number);
+                heap.push(Reverse((at, number)));
+                number += 1;
+            } else {
+                let expected = heap.pop().map(|Reverse(next)| next);
+                let got = queue.pop();
+                prop_assert_eq!(got, expected);
+                now = got.map_or(now, |(at, _)| at);
+            }
+            prop_assert_eq!(queue.len(), heap.len());
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/experiment/src/check.rs
@@ -0,0 +1,183 @@
+//! The models against results that are known: each with its closed form, what the emulator found, and the error.
+
+use lynxtally::{Below, Effect, FreeValue, Settings, Span, StageSettings};
+use lynxtally_baselines::{Baseline, Kind};
+use lynxtally_emulator::cores::Machine;
+use lynxtally_emulator::sidecar::{Again, Habit};
+use lynxtally_emulator::work::Work;
+use lynxtally_emulator::world::{Fault, Outcome, Scenario, Stage, Step, World};
+
+/// A model against its closed form.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Check {
+    /// What.
+    pub what: String,
+    /// By its closed form.
+    pub known: f64,
+    /// As it was found.
+    pub found: f64,
+    /// The error that is borne, as a part.
+    pub borne: f64,
+}
+
+impl Check {
+    /// The error, as a part.
+    pub fn error(&self) -> f64 {
+        (self.found / self.known - 1.0).abs()
+    }
+
+    /// Whether that can be borne.
+    pub fn holds(&self) -> bool {
+        self.error() <= self.borne
+    }
+}
+
+fn scenario(nodes: usize, cores: u32, load: f64, spread: Work, habit: Habit) -> Scenario {
+    let settings = StageSettings {
+        utility: 1.0,
+        late_part: 1.0,
+        due: Span::from_secs(50.0),
+        limit: Span::from_secs(100.0),
+        effect: Effect::Restartable,
+        repeat_window: Span::ZERO,
+        calls: false,
+        skip_part: 0.0,
+    };
+    Scenario {
+        nodes,
+        machine: Machine { cores, crowd: 1e9, slope: 0.0, cold: 1.0, warm_after: Span::from_millis(1) },
+        settings: Settings {
+            cores,
+            memory_kb: 1e9,
+            run_memory: 1.0,
+            key_kb: 0.0,
+            cold: false,
+            cold_share: 1.0,
+            warm_after: Span::from_millis(1),
+            crowd_limit: 1e9,
+            drain_grace: Span::from_millis(1000),
+            stages: vec![settings.clone()],
+            quotas: Vec::new(),
+            over_share: 1.0,
+            by_work: false,
+            backends: nodes as u32,
+            callers: 1,
+            depth: 0,
+            below: Below::Nothing,
+            stoppable: false,
+            free_value: FreeValue::Silent,
+            heeded: Span::ZERO,
+            idle_after: Span::ZERO,
+            share_for: Span::ZERO,
+            hold_off: Span::ZERO,
+        },
+        stages: vec![Stage { settings, share: 1.0, work: 0.01, spread }],
+        load,
+        lasts: Span::from_secs(2000.0 / (nodes as f64 * f64::from(cores)).sqrt()),
+        warm_up: Span::from_secs(20.0),
+        sidecars: 1,
+        habit,
+        again: Again::Never,
+        outliers: None,
+        delay: Span::ZERO,
+        script: Vec::new(),
+    }
+}
+
+fn plain(scenario: &Scenario, seed: u64) -> Outcome {
+    let slots = scenario.machine.cores as usize;
+    let make = move |settings: &Settings, seed, _| -> lynxtally_emulator::world::Decides {
+        let due = settings.stages[0].due;
+        Box::new(Baseline::new(Kind::Pool, slots, usize::MAX, due, 0, seed))
+    };
+    World::new(scenario, &make, seed).run().0
+}
+
+fn mean_latency(scenario: &Scenario) -> f64 {
+    (0..4).map(|seed| plain(scenario, seed).latency).sum::<f64>() / 4.0
+}
+
+/// The chance that one has to wait before c servers at a load of rho each. Source: A. K. Erlang (1917).
+fn erlang_c(c: u32, rho: f64) -> f64 {
+    let a = f64::from(c) * rho;
+    let mut term = 1.0;
+    let mut sum = 1.0;
+    for k in 1..c {
+        term *= a / f64::from(k);
+        sum += term;
+    }
+    let last = term * a / f64::from(c) / (1.0 - rho);
+    last / (sum + last)
+}
+
+/// All of them. Work is 10 ms in the mean.
+pub fn all() -> Vec<Check> {
+    let mut checks = Vec::new();
+    let work = 0.01;
+    for rho in [0.5, 0.8] {
+        let found = mean_latency(&scenario(1, 1, rho, Work::Exponential, Habit::Random));
+        let known = work / (1.0 - rho);
+        checks.push(Check { what: format!("M/M/1 at {rho}: mean stay, s"), known, found, borne: 0.05 });
+    }
+    for (c, rho) in [(4, 0.8), (16, 0.9)] {
+        let found = mean_latency(&scenario(1, c, rho, Work::Exponential, Habit::Random));
+        let known = work + erlang_c(c, rho) * work / (f64::from(c) * (1.0 - rho));
+        checks.push(Check { what: format!("M/M/{c} at {rho}: mean stay, s"), known, found, borne: 0.05 });
+    }
+    // Pollaczek and Khinchine: what waits grows with the mean square of the work.
+    for (name, spread) in
+        [("fixed", Work::Fixed), ("bimodal", Work::Bimodal(0.1, 10.0)), ("lognormal", Work::Lognormal(1.0))]
+    {
+        let rho = 0.7;
+        let found = mean_latency(&scenario(1, 1, rho, spread, Habit::Random));
+        let known = work + rho * work * spread.square() / (2.0 * (1.0 - rho));
+        checks.push(Check {
+            what: format!("M/G/1, {name} work, at {rho}: mean stay, s"),
+            known,
+            found,
+            borne: 0.08,
+        });
+    }
+    // The join of two choices in the limit of many nodes: the mean stay is a sum of doubly falling powers.
+    let rho: f64 = 0.9;
+    let found = mean_latency(&scenario(200, 1, rho, Work::Exponential, Habit::TwoChoices));
+    let known = work * (1..30).map(|i| rho.powf(2_f64.powi(i) - 2.0)).sum::<f64>();
+    checks.push(Check {
+        what: "two choices, 200 nodes, at 0.9: mean stay, s".to_owned(),
+        known,
+        found,
+        borne: 0.08,
+    });
+    let found = mean_latency(&scenario(200, 1, rho, Work::Exponential, Habit::Random));
+    let known = work / (1.0 - rho);
+    checks.push(Check {
+        what: "random, 200 nodes, at 0.9: mean stay, s".to_owned(),
+        known,
+        found,
+        borne: 0.08,
+    });
+    // A part p of the nodes is dead, sidecars go on choosing them: up to k tries a task are (1 - p^k) / (1 - p).
+    let mut dead = scenario(1000, 1, 0.1, Work::Exponential, Habit::Random);
+    (dead.again, dead.lasts, dead.warm_up) =
+        (Again::Limitless(3), Span::from_secs(40.0), Span::from_secs(1.0));
+    dead.script = vec![Step { at: Span::ZERO, first: 0, count: 500, what: Fault::Crash }];
+    let outcome = plain(&dead, 1);
+    let found = outcome.tries as f64 / outcome.tasks as f64;
+    let known = (1.0 - 0.5_f64.powi(3)) / 0.5;
+    checks.push(Check {
+        what: "tries a task with half the nodes dead, three at most".to_owned(),
+        known,
+        found,
+        borne: 0.02,
+    });
+    // What a stale list costs: without another try, the part of the list that is dead.
+    dead.again = Again::Never;
+    let outcome = plain(&dead, 2);
+    checks.push(Check {
+        what: "service with half of a list dead and no other try".to_owned(),
+        known: 0.5,
+        found: outcome.service(),
+        borne: 0.02,
+    });
+    checks
+}
--- /dev/null
+++ b/crates/lab/experiment/src/lib.rs
@@ -0,0 +1,97 @@
+//! Experiments on the emulated fleet: declared, run in parallel, kept as records, told as tables and charts.
+
+#![forbid(unsafe_code)]
+
+pub mod chart;
+pub mod check;
+pub mod report;
+pub mod spec;
+pub mod stats;
+
+use lynxtally_emulator::rules::Broken;
+use lynxtally_emulator::world::World;
+use serde::{Deserialize, Serialize};
+use spec::{Cell, Spec};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
+
+/// What came of one run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// Which run.
+    pub cell: Cell,
+    /// Utility earned over offered.
+    pub service: f64,
+    /// Tasks.
+    pub tasks: u64,
+    /// Tries a task.
+    pub tries: f64,
+    /// Tries turned away, over all.
+    pub rejected: f64,
+    /// Mean time to a good answer, in seconds.
+    pub latency: f64,
+    /// Of the slowest hundredth.
+    pub latency_99: f64,
+    /// Service by second.
+    pub line: Vec<f64>,
+    /// Rules that were broken, with how often and when, on which node, by which task first.
+    pub broken: Vec<String>,
+    /// Events.
+    pub events: u64,
+}
+
+/// Does one run.
+pub fn run(spec: &Spec, cell: &Cell) -> Record {
+    let scenario = spec.scenario(cell);
+    let make = |settings: &lynxtally::Settings, seed, now| spec::make(&cell.policy, settings, seed, now);
+    let (outcome, _) = World::new(&scenario, &make, cell.seed).run();
+    let tries = outcome.tries as f64;
+    let told = |(what, count, (at, node, task)): &(Broken, u64, (u64, u16, u32))| {
+        format!("{what}: {count} times, first at {:.6} s on node {node} by task {task}", *at as f64 / 1e6)
+    };
+    Record {
+        cell: cell.clone(),
+        service: outcome.service(),
+        tasks: outcome.tasks,
+        tries: tries / outcome.tasks.max(1) as f64,
+        rejected: outcome.rejected as f64 / tries.max(1.0),
+        latency: outcome.latency,
+        latency_99: outcome.latency_99,
+        line: outcome.line,
+        broken: outcome.rules.broken.iter().map(told).collect(),
+        events: outcome.events,
+    }
+}
+
+/// What happened to one task of a run, in words.
+pub fn explain(spec: &Spec, cell: &Cell, task: u32) -> Vec<String> {
+    let scenario = spec.scenario(cell);
+    let make = |settings: &lynxtally::Settings, seed, now| spec::make(&cell.policy, settings, seed, now);
+    World::new(&scenario, &make, cell.seed).explain(task).run().1
+}
+
+/// Does all runs that are not among those `done`, on so many threads; `each` sees every one as it ends.
+pub fn run_all(spec: &Spec, done: &[Record], threads: usize, each: impl Fn(&Record) + Sync) -> Vec<Record> {
+    let cells = spec.cells();
+    let results: Vec<Mutex<Option<Record>>> = cells
+        .iter()
+        .map(|cell| Mutex::new(done.iter().find(|record| record.cell == *cell).cloned()))
+        .collect();
+    let next = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        for _ in 0..threads.max(1) {
+            scope.spawn(|| loop {
+                let at = next.fetch_add(1, Ordering::Relaxed);
+                let Some(slot) = results.get(at) else { return };
+                let mut slot = slot.lock().unwrap_or_else(PoisonError::into_inner);
+                if slot.is_none() {
+                    let record = run(spec, &cells[at]);
+                    each(&record);
+                    *slot = Some(record);
+                }
+            });
+        }
+    });
+    let slots = results.into_iter().map(|slot| slot.into_inner().unwrap_or_else(PoisonError::into_inner));
+    slots.flatten().collect()
+}
--- /dev/null
+++ b/crates/lab/experiment/src/report.rs
@@ -0,0 +1,187 @@
+//! Records as tables, charts and a page.
+
+use crate::chart::{chart, Series};
+use crate::spec::Spec;
+use crate::stats::{compare, interval, Verdict};
+use crate::Record;
+use std::fmt::Write;
+use std::io;
+use std::path::Path;
+
+fn services(records: &[Record], policy: &str, script: &str, nodes: usize, load: f64) -> Vec<f64> {
+    let own = |record: &&Record| {
+        let cell = &record.cell;
+        cell.policy == policy && cell.script == script && cell.nodes == nodes && cell.load == load
+    };
+    records.iter().filter(own).map(|record| record.service).collect()
+}
+
+fn scripts(spec: &Spec) -> Vec<String> {
+    ["calm".to_owned()].into_iter().chain(spec.scripts.iter().map(|script| script.name.clone())).collect()
+}
+
+/// All as Markdown: service by policy, and the first policy against the best of the others, pair by pair.
+pub fn table(spec: &Spec, records: &[Record]) -> String {
+    let mut out = String::new();
+    let first = &spec.policies[0];
+    for script in scripts(spec) {
+        let _ = writeln!(out, "## {script}\n");
+        let names = spec.policies.join(" | ");
+        let _ = writeln!(out, "| nodes | load | {names} | best other | {first} against it |");
+        let _ = writeln!(out, "|{}", " --- |".repeat(spec.policies.len() + 4));
+        for &nodes in &spec.nodes {
+            for &load in &spec.loads {
+                let of = |policy: &str| services(records, policy, &script, nodes, load);
+                let means: Vec<String> =
+                    spec.policies.iter().map(|policy| format!("{:.3}", interval(&of(policy)).mean)).collect();
+                let others = spec.policies[1..].iter();
+                let best = others.max_by(|a, b| interval(&of(a)).mean.total_cmp(&interval(&of(b)).mean));
+                let told = best.map_or_else(
+                    || "| |".to_owned(),
+                    |best| {
+                        let (by, verdict) = compare(&of(first), &of(best));
+                        format!("| {best} | {verdict}, {:+.3} ({:+.3} to {:+.3}) |", by.mean, by.low, by.high)
+                    },
+                );
+                let _ = writeln!(out, "| {nodes} | {:.0} % | {} {told}", load * 100.0, means.join(" | "));
+            }
+        }
+        out.push('\n');
+    }
+    out
+}
+
+/// How often the first policy is better, worse or neither than the best of the others, and its worst place.
+pub fn summary(spec: &Spec, records: &[Record]) -> String {
+    let (mut counts, mut worst) = ([0; 3], (f64::INFINITY, String::new()));
+    let first = &spec.policies[0];
+    for script in scripts(spec) {
+        for &nodes in &spec.nodes {
+            for &load in &spec.loads {
+                let of = |policy: &str| services(records, policy, &script, nodes, load);
+                for other in &spec.policies[1..] {
+                    let (by, verdict) = compare(&of(first), &of(other));
+                    counts[verdict as usize] += 1;
+                    if by.mean < worst.0 {
+                        let what =
+                            format!("{script}, {nodes} nodes, load {:.0} %, against {other}", load * 100.0);
+                        worst = (by.mean, what);
+                    }
+                }
+            }
+        }
+    }
+    let [better, worse, even] =
+        [Verdict::Better, Verdict::Worse, Verdict::CantTell].map(|own| counts[own as usize]);
+    let broken = records.iter().filter(|record| !record.broken.is_empty()).count();
+    format!(
+        "{} runs; {first} is better in {better} comparisons, worse in {worse}, and in {even} the seeds can't tell. Its worst: \
+         {:+.3} ({}). Runs with a broken rule: {broken}.\n",
+        records.len(),
+        worst.0,
+        worst.1
+    )
+}
+
+/// All as comma-separated values.
+pub fn values(records: &[Record]) -> String {
+    let mut out =
+        "policy,script,nodes,load,seed,service,tasks,tries,rejected,latency_s,latency_99_s,broken\n"
+            .to_owned();
+    for Record { cell, service, tasks, tries, rejected, latency, latency_99, broken, .. } in records {
+        let _ = writeln!(
+            out,
+            "{},{},{},{},{},{service:.5},{tasks},{tries:.4},{rejected:.4},{latency:.6},{latency_99:.6},{}",
+            cell.policy,
+            cell.script,
+            cell.nodes,
+            cell.load,
+            cell.seed,
+            broken.len()
+        );
+    }
+    out
+}
+
+/// Charts: service against load in calm, and service by second in each script, at the largest fleet. Tells their files.
+pub fn charts(spec: &Spec, records: &[Record], folder: &Path) -> io::Result<Vec<String>> {
+    let nodes = spec.nodes.iter().copied().max().unwrap_or(1);
+    let mut files = Vec::new();
+    if spec.loads.len() > 1 {
+        let series: Vec<Series> = spec
+            .policies
+            .iter()
+            .map(|policy| {
+                let points = spec
+                    .loads
+                    .iter()
+                    .map(|load| (*load, interval(&services(records, policy, "calm", nodes, *load)).mean));
+                Series { name: policy.clone(), points: points.collect() }
+            })
+            .collect();
+        let file = format!("{}-load.svg", spec.name);
+        chart(&folder.join(&file), &format!("Service, {nodes} nodes, calm"), "load", false, &series)?;
+        files.push(file);
+    }
+    for script in &spec.scripts {
+        let load = spec
+            .loads
+            .iter()
+            .copied()
+            .min_by(|a, b| (a - 1.0).abs().total_cmp(&(b - 1.0).abs()))
+            .unwrap_or(1.0);
+        let series: Vec<Series> = spec
+            .policies
+            .iter()
+            .map(|policy| {
+                let own: Vec<&Record> = records
+                    .iter()
+                    .filter(|record| {
+                        let cell = &record.cell;
+                        cell.policy == *policy
+                            && cell.script == script.name
+                            && cell.nodes == nodes
+                            && cell.load == load
+                    })
+                    .collect();
+                let seconds = own.iter().map(|record| record.line.len()).max().unwrap_or(0);
+                let mean = |second: usize| {
+                    let sum: f64 = own.iter().filter_map(|record| record.line.get(second)).sum();
+                    sum / own.len().max(1) as f64
+                };
+                let from = spec.warm_up_s.ceil() as usize;
+                let points = (from..seconds.saturating_sub(1)).map(|second| (second as f64, mean(second)));
+                Series { name: policy.clone(), points: points.collect() }
+            })
+            .collect();
+        let file = format!("{}-{}.svg", spec.name, script.name);
+        let title = format!("{}, {nodes} nodes, load {:.0} %: service by second", script.name, load * 100.0);
+        chart(&folder.join(&file), &title, "seconds", false, &series)?;
+        files.push(file);
+    }
+    Ok(files)
+}
+
+/// One page that opens without a network: table and charts in it.
+pub fn page(title: &str, markdown: &str, folder: &Path, files: &[String]) -> io::Result<String> {
+    let mut out = format!(
+        "<!doctype html><meta charset=utf-8><title>{title}</title>\
+         <style>body{{font:15px sans-serif;margin:2em}}td,th{{padding:2px 9px;text-align:right}}\
+         tr:nth-child(odd){{background:#f3f3f3}}</style><h1>{title}</h1>"
+    );
+    for line in markdown.lines() {
+        if let Some(text) = line.strip_prefix("## ") {
+            let _ = write!(out, "</table><h2>{text}</h2><table>");
+        } else if line.starts_with("| ") {
+            let cells = line.trim_matches('|').split('|').map(|cell| format!("<td>{}</td>", cell.trim()));
+            let _ = write!(out, "<tr>{}</tr>", cells.collect::<String>());
+        } else if !line.starts_with('|') && !line.is_empty() {
+            let _ = write!(out, "<p>{line}</p>");
+        }
+    }
+    out.push_str("</table>");
+    for file in files {
+        out.push_str(&std::fs::read_to_string(folder.join(file))?);
+    }
+    Ok(out)
+}
--- a/crates/lab/measure/src/main.rs
+++ b/crates/lab/measure/src/main.rs
@@ -2,8 +2,8 @@
 
 #![forbid(unsafe_code)]
 
-mod baselines;
 mod names;
+mod streams;
 
 use clap::Parser;
 use std::path::PathBuf;
@@ -20,6 +20,32 @@
         #[arg(long, default_value_t = 1_000_000)]
         largest: usize,
     },
+    /// The stream server: memory, throughput, fairness, overload, cuts.
+    Streams {
+        /// Where the table goes; charts go beside it.
+        #[arg(long, default_value = "docs/results/streams.md")]
+        out: PathBuf,
+        /// Only these parts: throughput, memory, fairness, overload, cuts.
+        #[arg(long)]
+        only: Vec<String>,
+    },
+    /// A stream server, for the other command.
+    #[command(hide = true)]
+    StreamServer {
+        /// Its settings, as JSON.
+        #[arg(long)]
+        settings: String,
+        /// First come, first served.
+        #[arg(long)]
+        plain: bool,
+    },
+    /// A plain loop that copies, for the other command.
+    #[command(hide = true)]
+    StreamCopy {
+        /// From where.
+        #[arg(long)]
+        upstream: std::net::SocketAddr,
+    },
     /// A file of a million records read again under way; written to standard output.
     Reread,
     /// What a decision takes, in process; written to standard output.
@@ -36,6 +62,15 @@
 
 fn main() -> std::io::Result<()> {
     match What::parse() {
+        What::Streams { out, only } => {
+            let folder = out.parent().unwrap_or(&out);
+            std::fs::create_dir_all(folder)?;
+            let table = streams::measure(folder, &only)?;
+            print!("{table}");
+            std::fs::write(out, table)
+        }
+        What::StreamServer { settings, plain } => streams::serve(&settings, plain),
+        What::StreamCopy { upstream } => streams::copy(upstream),
         What::Reread => {
             print!("{}", names::rereading(1_000_000)?);
             Ok(())
--- a/crates/lab/measure/src/names.rs
+++ b/crates/lab/measure/src/names.rs
@@ -1,8 +1,8 @@
 //! The names server, measured: each figure beside a plain version in the same run.
 
-use crate::baselines::PlainQueue;
 use hdrhistogram::Histogram;
 use lynxtally::Pcg;
+use lynxtally_baselines::PlainQueue;
 use lynxtally_dns::client::{query, Client};
 use lynxtally_dns::codec::{write, Asked, Code, Reply, Room};
 use lynxtally_dns::control::{self, Verb};
