--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -3,7 +3,7 @@
 use crate::{Failed, Format};
 use clap::Subcommand;
 use lynxtally_experiment::spec::{Cell, Spec};
-use lynxtally_experiment::{check, explain, report, run_all, stats, Record};
+use lynxtally_experiment::{check, explain, report, run_all, search, stats, Record};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -50,6 +50,26 @@
         #[arg(long)]
         seed: Option<u64>,
     },
+    /// Search for the scenario on which the first policy loses most against the best of the others.
+    Search {
+        /// The experiment: its fleet, stages, policies and seeds; loads between its least and its most.
+        file: PathBuf,
+        /// So many starts.
+        #[arg(long, default_value_t = 16)]
+        starts: usize,
+        /// Steps from each.
+        #[arg(long, default_value_t = 20)]
+        steps: usize,
+        /// The search's own seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Threads.
+        #[arg(long, default_value_t = std::thread::available_parallelism().map_or(4, usize::from))]
+        threads: usize,
+        /// Where the table goes, beside standard output.
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
     /// Compare the emulator's models with results that are known.
     Check,
 }
@@ -103,6 +123,18 @@
             told.iter().for_each(|line| println!("{line}"));
             Ok(())
         }
+        Verb::Search { file, starts, steps, seed, threads, out } => {
+            let spec = spec(&file)?;
+            let found = search::search(&spec, starts, steps, seed, threads, |found| {
+                eprintln!("{:+.3} against {}", -found.loss(), found.best.0);
+            });
+            let table = searched(&file, &spec, &found);
+            print!("{table}");
+            if let Some(out) = out {
+                std::fs::write(&out, &table).map_err(|fault| format!("{}: {fault}", out.display()))?;
+            }
+            Ok(())
+        }
         Verb::Check => {
             let checks = check::all();
             for own in &checks {
@@ -127,6 +159,46 @@
     }
 }
 
+fn searched(file: &Path, spec: &Spec, found: &[search::Found]) -> String {
+    let first = &spec.policies[0];
+    let mut out = format!(
+        "# Where {first} loses most\n\nMade by `lynxtally lab search {}`: simulated time, {} nodes, seeds {:?}; each row is the \
+         best of one climb, cut down to the faults that matter.\n\n| {first} | best other | loss | load | sidecars, price of a \
+         try | faults | afterwards |\n| --- | --- | --- | --- | --- | --- | --- |\n",
+        file.display(),
+        spec.nodes[0],
+        spec.seeds,
+    );
+    for one in found {
+        let steps: Vec<String> = one
+            .steps
+            .iter()
+            .map(|step| {
+                let value = if step.value > 0.0 { format!(" {:.2}", step.value) } else { String::new() };
+                let (part, from) = (step.part * 100.0, step.from * 100.0);
+                format!("{:.1} s: {}{value}, {part:.0} % from {from:.0} %", step.at_s, step.what)
+            })
+            .collect();
+        let after = match one.after {
+            Some(after) if one.metastable() => format!("stays down: {after:.2} of before"),
+            Some(after) => format!("{after:.2} of before"),
+            None => String::new(),
+        };
+        out.push_str(&format!(
+            "| {:.3} | {} {:.3} | {:+.3} | {:.0} % | {}, {} | {} | {after} |\n",
+            one.service,
+            one.best.0,
+            one.best.1,
+            one.loss(),
+            one.load * 100.0,
+            one.habit,
+            one.price,
+            if steps.is_empty() { "none".to_owned() } else { steps.join("; ") },
+        ));
+    }
+    out
+}
+
 fn experiment(file: &Path, out: &Path, threads: usize) -> Result<(), Failed> {
     let spec = spec(file)?;
     let io = |fault: std::io::Error| format!("{}: {fault}", out.display());
--- a/crates/lab/experiment/src/lib.rs
+++ b/crates/lab/experiment/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod chart;
 pub mod check;
 pub mod report;
+pub mod search;
 pub mod spec;
 pub mod stats;
 
--- a/crates/lab/experiment/tests/runs.rs
+++ b/crates/lab/experiment/tests/runs.rs
@@ -1,7 +1,7 @@
 //! A small experiment from its declaration to its table.
 
 use lynxtally_experiment::spec::Spec;
-use lynxtally_experiment::{report, run_all};
+use lynxtally_experiment::{report, run_all, search};
 use serde_json::json;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -61,3 +61,17 @@
         assert_eq!(spec(declared).check().map_err(|fault| fault.to_string()), Err(said.to_owned()));
     }
 }
+
+#[test]
+fn the_search_finds_the_same_again_and_never_less_than_where_it_began() {
+    let mut declared = declared();
+    (declared["seeds"], declared["lasts_s"]) = (json!([1]), json!(3.0));
+    let spec = spec(declared);
+    let found = search::search(&spec, 3, 4, 9, 3, |_| ());
+    let again = search::search(&spec, 3, 4, 9, 1, |_| ());
+    let losses = |all: &[search::Found]| all.iter().map(search::Found::loss).collect::<Vec<_>>();
+    assert_eq!(losses(&found), losses(&again));
+    let starts = search::search(&spec, 3, 0, 9, 3, |_| ());
+    assert!(found[0].loss() >= starts[0].loss() * 0.9 - 1e-9);
+    assert!(found.windows(2).all(|pair| pair[0].loss() >= pair[1].loss()));
+}
--- a/crates/lab/measure/src/main.rs
+++ b/crates/lab/measure/src/main.rs
@@ -2,6 +2,7 @@
 
 #![forbid(unsafe_code)]
 
+mod lab;
 mod names;
 mod streams;
 
@@ -20,6 +21,12 @@
         #[arg(long, default_value_t = 1_000_000)]
         largest: usize,
     },
+    /// The emulator: its queue, and how fast a large fleet runs.
+    Lab {
+        /// Where the table goes.
+        #[arg(long, default_value = "docs/results/lab.md")]
+        out: PathBuf,
+    },
     /// The stream server: memory, throughput, fairness, overload, cuts.
     Streams {
         /// Where the table goes; charts go beside it.
@@ -69,6 +76,11 @@
             print!("{table}");
             std::fs::write(out, table)
         }
+        What::Lab { out } => {
+            let table = lab::measure()?;
+            print!("{table}");
+            std::fs::write(out, table)
+        }
         What::StreamServer { settings, plain } => streams::serve(&settings, plain),
         What::StreamCopy { upstream } => streams::copy(upstream),
         What::Reread => {
