--- a/crates/lynxtally-node/src/decide.rs
+++ b/crates/lynxtally-node/src/decide.rs
@@ -82,6 +82,7 @@
             Command::Run { id, stage: self.stages[work.stage].clone(), body: work.body.clone() }
         };
         self.counters.runs.add();
+        debug!(id = work.id, "run");
         self.command(work, command);
     }
 
@@ -96,6 +97,7 @@
         if work.call.is_none() {
             error!(id = work.id, "no coroutine for a call");
         }
+        debug!(id = work.id, number, time_out_ms = time_out.micros() / 1000, "call made");
         work.call.is_some()
     }
 
@@ -354,6 +356,7 @@
             place: sent.place,
             ..Entry::default()
         };
+        debug!(id = sent.id, stage = sent.stage, unread_ms = entry.unread.micros() / 1000, "task read");
         let work = Work {
             id: sent.id.clone(),
             stage: sent.stage,
@@ -394,6 +397,7 @@
                 if !self.host.started() {
                     let start = now - Span::from_secs(ms / 1000.0);
                     info!(cold, ms, "the kernel is up");
+                    debug!(below = ?self.config.declared.settings.below, "what calls go to");
                     let mut settings = self.config.declared.settings.clone();
                     settings.cold = cold;
                     self.host.start(now, Policy::new(settings, self.config.seed, start));
@@ -419,6 +423,7 @@
                 // A stop may have crossed this notice: only a run's end shows its effect.
                 work.unconfirmed.retain(|command| matches!(command, Command::Stop(_)));
                 work.call_body = body;
+                debug!(id, "at a call");
                 self.host.at_call(now, task);
             }
             Notice::Ended { id, how, result } => self.run_ended(now, &id, how, result),
@@ -451,6 +456,7 @@
             Reaped::Stopped => self.counters.runs_stopped.add(),
             Reaped::Moot => self.counters.runs_moot.add(),
         }
+        debug!(id, ?how, "run ended");
         let pauses = self.config.declared.pauses;
         let Some(task) = self.host.find(id) else { return self.unknown(id) };
         let awaited = self.host.from(task).is_some();
