Calls stay under the share in the plain mean the rule counts, whatever the dependency does

Ruled out: memory (0.67 of the limit) and the crowd (not reported). Before 11 s 12 calls are in hand in all, 3 ms each; from 11.2 s one in hand on nearly every node (291 of 344 at 12.0 s), p90 0.14 to 0.25 s. Share 0.35 a node: 284 of 344 nodes passed it in the plain mean over 5 s, median 0.44, largest 0.53; the sum 130 of 120. Log lines: 'what calls go to below=Shared { calls: 0.35, over: 5 s }', then 'call made' again and again while the mean of the module stood under 0.28. Cause: advance() kept an exponential mean that begins at 0, let_calls_go() looked at it before a call only. From nothing it lets -over*ln(1-0.8*share) seconds go at once and 0.8*share after that: 1.45 times 0.8*share over the span at 0.41, and a call begun just under the bound lasts on beyond it. Harmless in one node, as others leave room; harmful when the dependency slows for all at once. Change: a plain sum over the span (src/lately.rs), plus all that is in hand up to its time-out and its lingering, stays under 0.8 of the share; the time-out is cut to what is left; a quarter at once, the rest evenly; a fresh process starts as if the one before it had used its share.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,7 @@
 
 mod door;
 mod interface;
+mod lately;
 mod load;
 mod pcg;
 mod policy;
--- a/src/load.rs
+++ b/src/load.rs
@@ -15,6 +15,8 @@
     pub out: f64,
     /// Calls in hand.
     pub calling: f64,
+    /// When each of them is over below at the latest, in seconds since the start, added up.
+    pub calls_over: f64,
 }
 
 impl Load {
@@ -25,6 +27,7 @@
             on_cores: join(self.on_cores, other.on_cores),
             out: join(self.out, other.out),
             calling: join(self.calling, other.calling),
+            calls_over: join(self.calls_over, other.calls_over),
         }
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -4,6 +4,7 @@
 //! until one no longer fits under the learned throughput. Decisions set where a task is wanted; `emit` works
 //! out the difference to what the host was told.
 
+use crate::lately::Lately;
 use crate::load::Load;
 use crate::*;
 use std::collections::{BTreeSet, VecDeque};
@@ -16,6 +17,10 @@
 const CEILING: f64 = 0.85;
 /// The part of the shared dependency's survivable calls that is used at most, in the mean.
 const CALLS_CEILING: f64 = 0.8;
+/// A call goes only where that mean leaves room for so many times its usual length.
+const CALL_ROOM: f64 = 2.0;
+/// Of what that mean allows, this part may be used at once; the rest evenly over the span.
+const CALLS_AT_ONCE: f64 = 0.25;
 /// What one ended run moves the learned cost and throughput, and one arrival the likeness of callers.
 const GAIN: f64 = 1.0 / 16.0;
 /// A run counts for at most this many times what was expected, so that few huge ones can't fool the mean.
@@ -98,6 +103,8 @@
     worked: f64,
     began: Instant,
     called: Instant,
+    /// When the call is over below at the latest, also if it is given up.
+    call_over: Instant,
     call_tries: u32,
     look: Instant,
     /// Whether it stands among the timed, or is about to.
@@ -143,7 +150,12 @@
     load: Load,
     /// Core time that a task running since the start would have had, in seconds.
     clock: f64,
-    calls_mean: f64,
+    /// What this node may have in the hands of a shared dependency in the mean, and for how long what it gave up
+    /// stays there; the call time that this had lately, in seconds, and the same less what is used evenly.
+    share: f64,
+    linger: Span,
+    called: Lately,
+    called_fast: f64,
     throughput: f64,
     /// Since when the set has been full, and whether the gauge shows idle room all the same.
     full_since: Option<Instant>,
@@ -178,6 +190,13 @@
         let (top, sum) =
             set.stages.iter().fold((0.0_f64, 0.0), |(t, a), s| (t.max(s.utility), a + s.utility));
         let shortest = set.stages.iter().map(|s| s.due).min().unwrap_or_default();
+        let (share, over, linger) = match set.below {
+            Below::Shared { calls, over, linger } => (calls * CALLS_CEILING, over, linger),
+            _ => (f64::INFINITY, Span::ZERO, Span::ZERO),
+        };
+        let mean_due = set.stages.iter().map(|s| s.due.secs()).sum::<f64>() / set.stages.len().max(1) as f64;
+        // What the process before this one called is not known: it is taken for all but one call.
+        let before = share * over.secs() - linger.secs() - mean_due * COST_UNSEEN;
         let row =
             |s: &StageSettings| Row { cost: s.due.secs() * COST_UNSEEN, basis: 1.0, waits: 0.0, seen: false };
         Self {
@@ -186,7 +205,7 @@
             started: now,
             cores: f64::from(set.cores),
             period: (shortest * PERIOD).max(Span::from_millis(5)),
-            mean_due: set.stages.iter().map(|s| s.due.secs()).sum::<f64>() / set.stages.len().max(1) as f64,
+            mean_due,
             selective: top * set.stages.len() as f64 > sum * STANDS_OUT,
             tasks: Vec::new(),
             hold: BTreeSet::new(),
@@ -200,7 +219,10 @@
             same_caller: 1.0 / f64::from(set.callers.max(1)),
             load: Load::default(),
             clock: 0.0,
-            calls_mean: 0.0,
+            share,
+            linger,
+            called: Lately::new(over + linger, before),
+            called_fast: 0.0,
             throughput: 0.0,
             full_since: None,
             idle: false,
@@ -265,11 +287,10 @@
         let past = (now - self.now).secs();
         self.now = now;
         self.clock += past * (self.cores / self.load.on_cores.max(1.0)).min(1.0);
-        if let Below::Shared { over, linger, .. } = self.set.below {
-            let keep = |span: Span| (-past / span.secs().max(1e-3)).exp();
-            self.calls_mean += (self.load.calling + self.lingering - self.calls_mean) * (1.0 - keep(over));
-            self.lingering *= keep(linger);
-        }
+        self.called.add(now, self.load.calling * past);
+        let evenly = self.share * (1.0 - CALLS_AT_ONCE);
+        self.called_fast = (self.called_fast + (self.load.calling - evenly) * past).max(0.0);
+        self.lingering *= (-past / self.linger.secs().max(1e-3)).exp();
         let keep = (-past / (self.mean_due * SENT_OVER)).exp();
         self.sent.iter_mut().for_each(|rate| *rate *= keep);
         self.unread *= (-past / self.set.heeded.secs().max(1e-3)).exp();
@@ -285,7 +306,9 @@
             Place::OnCores => Load { demand: task.demand, on_cores: 1.0, ..running },
             Place::Reusing => Load { on_cores: 1.0, ..running },
             Place::Standing | Place::Ending => running,
-            Place::Calling => Load { calling: 1.0, ..running },
+            Place::Calling => {
+                Load { calling: 1.0, calls_over: (task.call_over - self.started).secs(), ..running }
+            }
             Place::Over => Load { kb: key, ..Load::default() },
         }
     }
@@ -296,6 +319,7 @@
         let after = self.weight(id);
         self.load += after - before;
         self.load.demand *= f64::from(u8::from(self.load.on_cores > 0.0));
+        self.load.calls_over *= f64::from(u8::from(self.load.calling > 0.0));
     }
 
     /// Sets where a task is wanted; `emit` tells the host.
@@ -514,8 +538,9 @@
             self.window_cut = now;
         }
         if outcome == CallOutcome::MayHaveRun {
-            self.lingering += 1.0;
-            self.call_time += (took.secs() - self.call_time).max(0.0) * GAIN;
+            self.linger();
+            let gain = if self.call_time > 0.0 { GAIN } else { 1.0 };
+            self.call_time += (took.secs() - self.call_time).max(0.0) * gain;
         } else if self.window <= 1.0 && matches!(self.set.below, Below::Shared { .. }) {
             // The one dependency takes no calls: they are tried one a period, not as fast as it rejects them.
             self.calls_from = now + self.period;
@@ -533,7 +558,9 @@
         let answered = outcome == RunOutcome::Answered;
         let (measured, called) = (task.place == Place::OnCores && answered, task.place == Place::Calling);
         task.owed &= !answered;
-        self.lingering += f64::from(u8::from(called));
+        if called {
+            self.linger();
+        }
         self.moved(id, Place::Over);
         self.end(id, Action::Abandon(id));
         if measured {
@@ -696,18 +723,48 @@
 
     /// Lets calls go, the highest rate first, as far as the window and the shared dependency allow.
     fn let_calls_go(&mut self) {
-        let share = if let Below::Shared { calls, .. } = self.set.below { calls } else { f64::INFINITY };
-        let share = share * CALLS_CEILING;
+        let most = self.share.max(1.0);
         while let Some(&(_, id)) = self.standing.first().filter(|_| self.now >= self.calls_from) {
-            let full = self.load.calling + self.lingering >= share.max(1.0) || self.calls_mean >= share;
-            if full || self.load.calling + 1.0 > self.window.min(share.max(1.0)) {
+            let full = self.load.calling + self.lingering >= most;
+            if full || self.load.calling + 1.0 > self.window.min(most) {
                 break;
             }
+            let Some(time_out) = self.call_time_out(id) else { break };
+            let (now, over) = (self.now, self.now + time_out + self.linger);
+            (self.inside(id).called, self.inside(id).call_over) = (now, over);
             self.put(id, Place::Calling);
-            self.inside(id).called = self.now;
         }
     }
 
+    /// A call was given up: until the dependency lets go of it, it counts, here and where the rule counts.
+    fn linger(&mut self) {
+        self.lingering += 1.0;
+        self.called.add(self.now, self.linger.secs());
+        self.called_fast += self.linger.secs();
+    }
+
+    /// The time-out of a call that goes now; none where it has to wait. The rule counts the plain mean of calls
+    /// in hand over a span. What was in hand over the last one, and what is now, each to its last moment after
+    /// being given up, stay under this node's share of it: so the mean does whatever becomes of the dependency,
+    /// and the sum over all nodes does while each does so. Should catch any slowing of it for all at once, also
+    /// in the middle of calls; harms where a call would have come back just past a cut time-out.
+    fn call_time_out(&mut self, id: TaskId) -> Option<Span> {
+        let wish = self.time_out(id);
+        let Below::Shared { over, .. } = self.set.below else { return Some(wish) };
+        let unseen = self.call_time <= 0.0;
+        let usual = if unseen { self.mean_due * COST_UNSEEN } else { self.call_time * CALL_ROOM };
+        let need = wish.min(Span::from_secs(usual).max(self.period)).secs();
+        let most = self.share * over.secs();
+        let ahead = self.load.calls_over - self.load.calling * (self.now - self.started).secs();
+        let one = self.linger.secs() + need;
+        let spent = self.called.sum(self.now) + ahead;
+        // What all spend at once as a dependency slows crowds it, and is missing to all for the rest of the span.
+        let fast = self.called_fast + ahead + one <= (most * CALLS_AT_ONCE).max(one);
+        // A share that no call fits in lets one out when nothing was for a whole span.
+        let room = if spent > 0.0 { most - spent } else { (most - spent).max(one) };
+        (fast && room >= one).then(|| wish.min(Span::from_secs(room) - self.linger))
+    }
+
     /// A call that can't be had is left out where the stage allows it; else the task is settled.
     fn leave_out(&mut self, id: TaskId) {
         if self.set.stages[self.task(id).expect("at a call").stage].skip_part > 0.0 {
@@ -806,7 +863,7 @@
     }
 
     fn emit_task(&mut self, id: TaskId, actions: &mut Vec<Action>) {
-        let (now, task) = (self.now, self.inside(id));
+        let (now, linger, task) = (self.now, self.linger, self.inside(id));
         let (told, place) = (std::mem::replace(&mut task.told, task.place), task.place);
         if let Some(until) = task.kept_until.filter(|_| !task.key_told && place != Place::Over) {
             task.key_told = true;
@@ -820,7 +877,7 @@
             (Place::Held, Place::OnCores) => actions.push(Action::Run(id)),
             (Place::Held, Place::Reusing) => actions.push(Action::Reuse(id)),
             (Place::Standing, Place::Calling) => {
-                actions.push(Action::Call { task: id, time_out: self.time_out(id) })
+                actions.push(Action::Call { task: id, time_out: task.call_over - now - linger })
             }
             (Place::Standing, Place::OnCores) => actions.push(Action::Skip(id)),
             (Place::OnCores, Place::Ending) => actions.push(Action::Stop(id)),
