The lab's fleet shares a dependency, and 350 nodes that do the same are checked in the sum

Change: crates/lab/emulator/src/below.rs, shared slots slowed by a crowd, lingering, and the plain mean of calls in hand kept exactly; runs stand at a call half way; Fault::SlowBelow; Broken::Below, looked at on every change from outside. Story: 350 real hosts and modules, started together while the dependency does a twentieth, half of them released and back under their numbers while it does a hundredth.

--- a/crates/lab/emulator/src/cores.rs
+++ b/crates/lab/emulator/src/cores.rs
@@ -37,6 +37,8 @@
     had: f64,
     ends: BTreeMap<(u64, TaskId), ()>,
     of: BTreeMap<TaskId, u64>,
+    /// What is left to do of those that have a call to make, and whether that is under way.
+    rest: BTreeMap<TaskId, (f64, bool)>,
     now: Instant,
     cold_since: Option<Instant>,
     /// Someone else's doing: this part of the speed is left.
@@ -47,6 +49,19 @@
     pub asked: bool,
     /// Runs that began.
     pub began: Vec<Began>,
+    /// Calls that are to be made, and those given up, by their numbers.
+    pub calls: Vec<(TaskId, u64, f64)>,
+    /// Calls that were given up, by their numbers.
+    pub given_up: Vec<u64>,
+}
+
+/// Why a run leaves the cores.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stop {
+    /// It is over.
+    Done,
+    /// It waits for its call.
+    AtCall,
 }
 
 /// A try as it comes to a node: the client's task, and its work in seconds.
@@ -56,6 +71,8 @@
     pub of: u32,
     /// Work on a core of its own, in seconds.
     pub work: f64,
+    /// Work of the call below that it makes half way, in seconds; zero where it makes none.
+    pub call: f64,
 }
 
 /// Work is counted in nanoseconds, so that it can be ordered.
@@ -69,6 +86,7 @@
             had: 0.0,
             ends: BTreeMap::new(),
             of: BTreeMap::new(),
+            rest: BTreeMap::new(),
             now,
             cold_since: cold.then_some(now),
             slowed: 1.0,
@@ -76,6 +94,8 @@
             busy_since: now,
             asked: false,
             began: Vec::new(),
+            calls: Vec::new(),
+            given_up: Vec::new(),
         }
     }
 
@@ -117,8 +137,8 @@
         Some(self.now + Span::from_micros((left * 1e6).ceil() as u64))
     }
 
-    /// The runs that have ended by now.
-    pub fn ended(&mut self, now: Instant) -> Vec<TaskId> {
+    /// The runs that have ended by now, or stand at their call.
+    pub fn ended(&mut self, now: Instant) -> Vec<(TaskId, Stop)> {
         self.advance(now);
         let mut over = Vec::new();
         // Time is counted in microseconds: what is less than one away is there.
@@ -129,11 +149,38 @@
             }
             self.ends.pop_first();
             self.of.remove(&task);
-            over.push(task);
+            over.push((task, if self.rest.contains_key(&task) { Stop::AtCall } else { Stop::Done }));
         }
         over
     }
 
+    fn go(&mut self, task: TaskId, work: f64) {
+        let end = ((self.had + work) * FINE) as u64;
+        self.ends.insert((end, task), ());
+        self.of.insert(task, end);
+    }
+
+    /// A run goes on after its call.
+    pub fn resume(&mut self, task: TaskId) {
+        if let Some((rest, _)) = self.rest.remove(&task) {
+            self.go(task, rest);
+        }
+    }
+
+    /// A call ended without its reply: the run stands there again.
+    pub fn failed(&mut self, task: TaskId) {
+        self.rest.entry(task).and_modify(|rest| rest.1 = false);
+    }
+
+    /// A run that stands at its call, with none under way, ends if nobody waits for it any more.
+    pub fn drop_standing(&mut self, task: TaskId) -> bool {
+        let stands = !self.of.contains_key(&task) && self.rest.get(&task).is_some_and(|rest| !rest.1);
+        if stands {
+            self.rest.remove(&task);
+        }
+        stands
+    }
+
     /// How busy they were since this was last asked.
     pub fn busy(&mut self, now: Instant) -> f64 {
         self.advance(now);
@@ -146,9 +193,11 @@
 
 impl Executor<Brought> for Cores {
     fn run(&mut self, task: TaskId, brought: &mut Brought) {
-        let end = ((self.had + brought.work) * FINE) as u64;
-        self.ends.insert((end, task), ());
-        self.of.insert(task, end);
+        let first = if brought.call > 0.0 { brought.work / 2.0 } else { brought.work };
+        if brought.call > 0.0 {
+            self.rest.insert(task, (brought.work - first, false));
+        }
+        self.go(task, first);
         self.began.push(Began { task, of: brought.of });
     }
 
@@ -156,13 +205,22 @@
         if let Some(end) = self.of.remove(&task) {
             self.ends.remove(&(end, task));
         }
+        self.rest.remove(&task);
     }
 
-    fn call(&mut self, _: TaskId, _: &mut Brought, _: u64, _: Span) -> bool {
-        false
+    fn call(&mut self, task: TaskId, brought: &mut Brought, number: u64, _: Span) -> bool {
+        self.rest.entry(task).and_modify(|rest| rest.1 = true);
+        self.calls.push((task, number, brought.call));
+        true
     }
 
-    fn give_up(&mut self, _: &mut Brought, _: u64) {}
+    fn give_up(&mut self, _: &mut Brought, number: u64) {
+        self.given_up.push(number);
+    }
+
+    fn skip(&mut self, task: TaskId, _: &mut Brought) {
+        self.resume(task);
+    }
 
     fn ask(&mut self) {
         self.asked = true;
--- a/crates/lab/emulator/src/lib.rs
+++ b/crates/lab/emulator/src/lib.rs
@@ -4,6 +4,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod below;
 pub mod cores;
 pub mod queue;
 pub mod rules;
--- a/crates/lab/emulator/src/rules.rs
+++ b/crates/lab/emulator/src/rules.rs
@@ -13,6 +13,8 @@
     PastGrace,
     /// More ran on a node than it survives.
     Crowd,
+    /// All nodes together had more calls in the hands of what they share than it survives.
+    Below,
 }
 
 impl fmt::Display for Broken {
@@ -22,6 +24,7 @@
             Self::Twice => "an effect happened twice",
             Self::PastGrace => "a task that came past the grace was run",
             Self::Crowd => "more ran on a node than it survives",
+            Self::Below => "what all nodes call held more calls than it survives",
         })
     }
 }
--- a/crates/lab/emulator/src/world.rs
+++ b/crates/lab/emulator/src/world.rs
@@ -1,17 +1,19 @@
 //! The world: clients, sidecars, links and nodes in simulated time, on one seed. Nodes are the real host with whatever
 //! decides; the same seed gives the same run.
 
-use crate::cores::{Brought, Cores, Machine};
+use crate::below::{Below, Dependency};
+use crate::cores::{Brought, Cores, Machine, Stop};
 use crate::queue::Queue;
 use crate::rules::{Broken, Rules};
 use crate::sidecar::{Again, Habit, Sidecar};
 use crate::work::Work;
-use lynxtally::{Effect, Gauges, Instant, Settings, Span, StageSettings, TaskId};
+use lynxtally::{CallOutcome, Effect, Gauges, Instant, Settings, Span, StageSettings, TaskId};
 use lynxtally_host::{Answer, Answerer, Decide, Entry, Host, RunEnd};
 use lynxtally_retry::OutlierLimits;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp1};
 use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
 
 /// What decides on a node.
 pub type Decides = Box<dyn Decide + Send>;
@@ -29,6 +31,8 @@
     pub work: f64,
     /// How that is spread.
     pub spread: Work,
+    /// Mean work of its call below, in seconds; spread like the work.
+    pub call: f64,
 }
 
 /// What happens to nodes.
@@ -48,6 +52,8 @@
     Mute,
     /// Its links are well again.
     Mended,
+    /// What all nodes call does this part of its work; the nodes named count for nothing.
+    SlowBelow(f64),
 }
 
 /// A fault of a script: when, on which nodes, what.
@@ -90,6 +96,8 @@
     pub outliers: Option<OutlierLimits>,
     /// One way on a link, in the mean; exponential.
     pub delay: Span,
+    /// What all nodes call, where stages call.
+    pub below: Option<Dependency>,
     /// Faults.
     pub script: Vec<Step>,
 }
@@ -119,6 +127,8 @@
     pub line: Vec<f64>,
     /// Rules that were broken.
     pub rules: Rules,
+    /// The largest mean of calls in hand below, over what that survives.
+    pub most_below: f64,
     /// Events.
     pub events: u64,
 }
@@ -140,6 +150,12 @@
     GiveUp(u32),
     Step(u16),
     Kill(u16, u32),
+    /// The dependency is looked at, by the number of this look.
+    Below(u32),
+    /// The end of a call comes to a node: its life, the task, the call's number, whether it went well.
+    Called(u16, u32, TaskId, u64, bool),
+    /// A run ends where it stands, as nobody waits for it.
+    RunOver(u16, u32, TaskId),
 }
 
 /// How a try came back.
@@ -156,6 +172,7 @@
     sidecar: u16,
     born: u64,
     work: f32,
+    call: f32,
     tries: u8,
     runs: u8,
     done: bool,
@@ -207,6 +224,11 @@
     queue: Queue<Event>,
     now: u64,
     nodes: Vec<Node>,
+    below: Option<Below>,
+    looks: u32,
+    /// Calls under way, by node and number: which it is below, and whose; and the same by what it is below.
+    calls: BTreeMap<(u16, u64), u32>,
+    callers: BTreeMap<u32, (u16, u32, TaskId, u64)>,
     sidecars: Vec<Sidecar>,
     tasks: Vec<Task>,
     tries: Vec<Try>,
@@ -244,6 +266,10 @@
             queue: Queue::default(),
             now: 0,
             nodes: Vec::new(),
+            below: scenario.below.map(Below::new),
+            looks: 0,
+            calls: BTreeMap::new(),
+            callers: BTreeMap::new(),
             sidecars: (0..scenario.sidecars)
                 .map(|n| {
                     let seed = seed.wrapping_mul(31).wrapping_add(n as u64);
@@ -343,6 +369,14 @@
                         self.crash(n);
                     }
                 }
+                Event::Below(look) if look == self.looks => self.look_below(),
+                Event::Below(_) => {}
+                Event::Called(n, life, task, number, well) => self.called(n, life, task, number, well),
+                Event::RunOver(n, life, task) => {
+                    if self.nodes[usize::from(n)].up && self.nodes[usize::from(n)].life == life {
+                        self.run_over(n, task);
+                    }
+                }
             }
             // Nobody is born any more and nobody waits: what is left are timers.
             if self.now > (self.scenario.lasts + self.longest()).micros() {
@@ -373,6 +407,7 @@
         let stage = stage.unwrap_or(self.scenario.stages.len() - 1);
         let own = &self.scenario.stages[stage];
         let work = own.spread.draw(&mut self.works) * own.work;
+        let call = if own.call > 0.0 { own.spread.draw(&mut self.works) * own.call } else { 0.0 };
         let sidecar = (self.arrivals.random::<f64>() * self.sidecars.len() as f64) as u16;
         let number = self.tasks.len() as u32;
         let counts = self.now >= self.scenario.warm_up.micros();
@@ -381,6 +416,7 @@
             sidecar,
             born: self.now,
             work: work as f32,
+            call: call as f32,
             tries: 0,
             runs: 0,
             done: false,
@@ -455,7 +491,7 @@
             place: (f64::from(of) * 0.618_033_988_75).fract(),
             ..Entry::default()
         };
-        let brought = Brought { of, work: f64::from(task.work) };
+        let brought = Brought { of, work: f64::from(task.work), call: f64::from(task.call) };
         node.cores.advance(now);
         match node.host.enter(now, None, entry, brought, open) {
             Ok(id) => self.tries[open as usize].task = Some(id),
@@ -473,8 +509,14 @@
         let now = at(self.now);
         let mut desk = Desk::default();
         let node = &mut self.nodes[usize::from(n)];
-        for task in node.cores.ended(now) {
-            node.host.run_ended(now, task, RunEnd::Finished(Vec::new()), &mut node.cores, &mut desk);
+        for (task, stop) in node.cores.ended(now) {
+            match stop {
+                Stop::Done => {
+                    node.host.run_ended(now, task, RunEnd::Finished(Vec::new()), &mut node.cores, &mut desk);
+                }
+                Stop::AtCall if node.host.from(task).is_some() => node.host.at_call(now, task),
+                Stop::AtCall => self.queue.push(self.now, Event::RunOver(n, node.life, task)),
+            }
         }
         while node.host.fall_due(now, &mut node.cores).is_some() {}
         if std::mem::take(&mut node.cores.asked) {
@@ -483,6 +525,8 @@
         }
         node.host.settle(now, &mut node.cores, &mut desk);
         let began = std::mem::take(&mut node.cores.began);
+        let (calls, given_up) =
+            (std::mem::take(&mut node.cores.calls), std::mem::take(&mut node.cores.given_up));
         let most = self.scenario.settings.crowd_limit * f64::from(self.scenario.machine.cores);
         let (running, grace) = (node.cores.running(), node.grace);
         if let Some(next) = node.host.next_due().map(|due| (due - Instant::default()).micros()) {
@@ -497,6 +541,7 @@
             let end = (end - Instant::default()).micros().max(self.now + 1);
             self.queue.push(end, Event::Cores(n, node.ends));
         }
+        self.call_below(n, calls, given_up);
         for one in began {
             let task = &mut self.tasks[one.of as usize];
             task.runs = task.runs.saturating_add(1);
@@ -516,6 +561,11 @@
             }
         }
         for (open, answer) in desk.0 {
+            // Abandoned at its call: the run ends there.
+            let one = self.tries[open as usize];
+            if let Some(task) = one.task.filter(|_| answer == Answer::Abandoned) {
+                self.queue.push(self.now, Event::RunOver(n, one.life, task));
+            }
             let came = match answer {
                 Answer::Finished(_) => Came::Finished,
                 Answer::Rejected { terminal, .. } => Came::Rejected(terminal),
@@ -600,6 +650,7 @@
             if node.host.gone(at(self.now), task, |from| *from == open) {
                 self.outcome.rules.broke(Broken::Lost, self.now, one.node, number);
             }
+            self.queue.push(self.now, Event::RunOver(one.node, one.life, task));
             self.turn(one.node);
         }
         let task = &mut self.tasks[number as usize];
@@ -611,6 +662,10 @@
 
     fn step(&mut self, step: usize) {
         let Step { first, count, what, .. } = self.scenario.script[step];
+        if let (Fault::SlowBelow(part), Some(below)) = (what, &mut self.below) {
+            below.slow(at(self.now), part);
+            return self.look_below();
+        }
         for n in first..(first + count).min(self.nodes.len()) {
             let number = n as u16;
             match what {
@@ -644,6 +699,7 @@
                 Fault::Deaf => self.nodes[n].deaf = true,
                 Fault::Mute => self.nodes[n].mute = true,
                 Fault::Mended => (self.nodes[n].deaf, self.nodes[n].mute) = (false, false),
+                Fault::SlowBelow(_) => {}
             }
         }
     }
@@ -654,6 +710,11 @@
         if !std::mem::replace(&mut node.up, false) {
             return;
         }
+        // What it called is given up by its end.
+        let numbers: Vec<u64> =
+            self.calls.range((n, 0)..=(n, u64::MAX)).map(|((_, number), _)| *number).collect();
+        self.call_below(n, Vec::new(), numbers);
+        let node = &mut self.nodes[usize::from(n)];
         // One that left as it was told owes nobody anything by now.
         let leaving = node.grace.is_some();
         let owed = node.host.give_up();
@@ -667,6 +728,80 @@
         }
     }
 
+    /// Calls of a node go below, and some are given up.
+    fn call_below(&mut self, n: u16, calls: Vec<(TaskId, u64, f64)>, given_up: Vec<u64>) {
+        let (now, life) = (at(self.now), self.nodes[usize::from(n)].life);
+        let Some(below) = self.below.as_mut().filter(|_| !calls.is_empty() || !given_up.is_empty()) else {
+            return;
+        };
+        for (task, number, work) in calls {
+            let call = below.call(now, work);
+            self.calls.insert((n, number), call);
+            self.callers.insert(call, (n, life, task, number));
+        }
+        for number in given_up {
+            let Some(call) = self.calls.remove(&(n, number)) else { continue };
+            below.give_up(now, call);
+            if let Some((n, life, task, number)) = self.callers.remove(&call) {
+                self.queue.push(self.now, Event::Called(n, life, task, number, false));
+            }
+        }
+        self.look_below();
+    }
+
+    /// What is done below goes back, and the rule is looked at.
+    fn look_below(&mut self) {
+        let now = at(self.now);
+        let Some(below) = &mut self.below else { return };
+        let done = below.done(now);
+        if below.falls() {
+            self.outcome.rules.broke(Broken::Below, self.now, 0, NONE);
+        }
+        self.looks += 1;
+        if let Some(next) = below.next() {
+            self.queue.push((next - Instant::default()).micros().max(self.now + 1), Event::Below(self.looks));
+        }
+        for call in done {
+            let Some((n, life, task, number)) = self.callers.remove(&call) else { continue };
+            self.calls.remove(&(n, number));
+            let delay = self.delay();
+            self.queue.push(self.now + delay, Event::Called(n, life, task, number, true));
+        }
+    }
+
+    fn called(&mut self, n: u16, life: u32, task: TaskId, number: u64, well: bool) {
+        let now = at(self.now);
+        let node = &mut self.nodes[usize::from(n)];
+        if !node.up || node.life != life {
+            return;
+        }
+        node.cores.advance(now);
+        let outcome = if well { CallOutcome::Ok } else { CallOutcome::MayHaveRun };
+        // One that was given up with its run is not waited for any more.
+        if node.host.call_ended(now, task, number, outcome) {
+            if well {
+                node.cores.resume(task);
+            } else {
+                node.cores.failed(task);
+                if node.host.from(task).is_none() {
+                    self.queue.push(self.now, Event::RunOver(n, life, task));
+                }
+            }
+        }
+        self.turn(n);
+    }
+
+    /// A run that stands at its call ends there.
+    fn run_over(&mut self, n: u16, task: TaskId) {
+        let now = at(self.now);
+        let node = &mut self.nodes[usize::from(n)];
+        if node.cores.drop_standing(task) {
+            node.cores.advance(now);
+            node.host.run_ended(now, task, RunEnd::Stopped, &mut node.cores, &mut Desk::default());
+            self.turn(n);
+        }
+    }
+
     fn close(mut self) -> (Outcome, Vec<String>) {
         for (n, node) in self.nodes.iter().enumerate() {
             let tally = node.host.tally();
@@ -674,6 +809,10 @@
                 self.outcome.rules.broke(Broken::Lost, self.now, n as u16, NONE);
             }
         }
+        self.outcome.most_below = match (&self.below, self.scenario.below) {
+            (Some(below), Some(model)) => below.most() / model.survives,
+            _ => 0.0,
+        };
         self.latencies.sort_unstable_by(f32::total_cmp);
         let count = self.latencies.len().max(1);
         self.outcome.latency = self.latencies.iter().map(|one| f64::from(*one)).sum::<f64>() / count as f64;
--- a/crates/lab/emulator/tests/worlds.rs
+++ b/crates/lab/emulator/tests/worlds.rs
@@ -3,6 +3,7 @@
 use lynxtally::{
     Action, Below, Effect, Event, FreeValue, Instant, Policy, Settings, Span, StageSettings, TaskId,
 };
+use lynxtally_emulator::below::Dependency;
 use lynxtally_emulator::cores::Machine;
 use lynxtally_emulator::queue::Queue;
 use lynxtally_emulator::rules::Broken;
@@ -25,7 +26,7 @@
         calls: false,
         skip_part: 0.0,
     };
-    Stage { settings, share: 1.0, work: 0.02, spread: Work::Exponential }
+    Stage { settings, share: 1.0, work: 0.02, spread: Work::Exponential, call: 0.0 }
 }
 
 fn scenario(nodes: usize, load: f64) -> Scenario {
@@ -73,6 +74,7 @@
         again: Again::Budget(3, 5),
         outliers: None,
         delay: Span::from_millis(1),
+        below: None,
         script: vec![
             Step { at: Span::from_secs(2.0), first: 0, count: 1, what: Fault::Crash },
             Step { at: Span::from_secs(3.0), first: 0, count: 1, what: Fault::Restart },
@@ -174,7 +176,7 @@
                 let all = std::mem::take(&mut self.rejected);
                 actions.extend(all.into_keys().map(Action::Run));
             }
-            Broken::PastGrace => {}
+            Broken::PastGrace | Broken::Below => {}
         }
     }
 }
@@ -191,6 +193,58 @@
     }
 }
 
+/// A fleet at its peak before one dependency: started together while that is slow, and again by a release of half of
+/// them, of which each comes back under its number as soon as it is gone, while it is slower still.
+fn fleet(nodes: usize) -> Scenario {
+    let slow = Span::from_millis(5000);
+    let share = Below::Shared { calls: 0.4, over: slow, linger: Span::from_millis(200) };
+    let mut scenario = scenario(nodes, 1.1);
+    for stage in &mut scenario.stages {
+        (stage.work, stage.call) = (0.2, 0.005);
+        (stage.settings.due, stage.settings.limit) = (Span::from_millis(2000), Span::from_millis(5000));
+        (stage.settings.calls, stage.settings.effect) = (true, Effect::Restartable);
+    }
+    scenario.settings.stages = scenario.stages.iter().map(|stage| stage.settings.clone()).collect();
+    scenario.settings.below = share;
+    scenario.below = Some(Dependency {
+        slots: nodes as f64 * 0.08,
+        slope: 0.3,
+        survives: nodes as f64 * 0.4,
+        over: slow,
+        linger: Span::from_millis(200),
+    });
+    scenario.sidecars = nodes / 2;
+    scenario.lasts = Span::from_secs(13.0);
+    let step = |at, count, what| Step { at: Span::from_secs(at), first: 0, count, what };
+    scenario.script = vec![
+        step(0.0, 0, Fault::SlowBelow(0.05)),
+        step(2.0, 0, Fault::SlowBelow(1.0)),
+        step(5.0, nodes / 2, Fault::Leave(Span::from_millis(1500))),
+        step(5.5, 0, Fault::SlowBelow(0.01)),
+        step(6.6, nodes / 2, Fault::Restart),
+        step(11.0, 0, Fault::SlowBelow(1.0)),
+    ];
+    scenario
+}
+
+#[test]
+fn a_fleet_that_does_the_same_at_the_same_moment_never_holds_more_calls_than_the_dependency_survives() {
+    let outcome = run(&fleet(350), &module, 5);
+    assert_eq!(outcome.rules.broken, []);
+    assert!(outcome.most_below > 0.3, "it was put to the test: {}", outcome.most_below);
+    assert!(outcome.service() > 0.2, "and served: {}", outcome.service());
+    // Each node goes over by its own little: harmless in one, and seen in the sum.
+    let more = |settings: &Settings, seed, now| -> Decides {
+        let mut settings = settings.clone();
+        if let Below::Shared { calls, .. } = &mut settings.below {
+            *calls *= 1.8;
+        }
+        Box::new(Policy::new(settings, seed, now))
+    };
+    let outcome = run(&fleet(350), &more, 5);
+    assert!(outcome.rules.has(Broken::Below), "{}", outcome.most_below);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 128, failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/crates/lab/experiment/src/check.rs
+++ b/crates/lab/experiment/src/check.rs
@@ -71,7 +71,7 @@
             share_for: Span::ZERO,
             hold_off: Span::ZERO,
         },
-        stages: vec![Stage { settings, share: 1.0, work: 0.01, spread }],
+        stages: vec![Stage { settings, share: 1.0, work: 0.01, spread, call: 0.0 }],
         load,
         lasts: Span::from_secs(2000.0 / (nodes as f64 * f64::from(cores)).sqrt()),
         warm_up: Span::from_secs(20.0),
@@ -80,6 +80,7 @@
         again: Again::Never,
         outliers: None,
         delay: Span::ZERO,
+        below: None,
         script: Vec::new(),
     }
 }
--- a/crates/lab/experiment/src/spec.rs
+++ b/crates/lab/experiment/src/spec.rs
@@ -289,6 +289,7 @@
             },
             outliers: None,
             delay: Span::from_secs(self.delay_ms / 1000.0),
+            below: None,
             script,
         }
     }
@@ -353,6 +354,7 @@
             share: self.share,
             work: self.work_ms / 1000.0,
             spread: self.work().unwrap_or(Work::Exponential),
+            call: 0.0,
         }
     }
 }
