A node whose stages call nothing starts without a ledger

Cause: config.rs asked for `ledger` whatever the stages do. Change: needed only where a stage calls, with a line that names the stage; without one a call never ran.

--- a/crates/lynxtally-node/src/config.rs
+++ b/crates/lynxtally-node/src/config.rs
@@ -16,8 +16,8 @@
     pub kernel: SocketAddr,
     /// Where the control plane is.
     pub control: SocketAddr,
-    /// Where the ledger is.
-    pub ledger: SocketAddr,
+    /// Where the ledger is. Nodes whose stages call nothing may have none.
+    pub ledger: Option<SocketAddr>,
     /// Where chance starts from.
     pub seed: u64,
     /// How long after the notice to leave it is killed.
@@ -100,7 +100,7 @@
     listen: Option<String>,
     kernel: String,
     control: String,
-    ledger: String,
+    ledger: Option<String>,
     #[serde(default)]
     seed: String,
     #[serde(default = "stop_ms")]
@@ -170,6 +170,14 @@
             "" | "." => Fault::new("settings", fault.what),
             path => Fault::new(format!("settings.{path}"), fault.what),
         })?;
+    let ledger = file.ledger.map(|ledger| address("ledger", &ledger)).transpose()?;
+    if ledger.is_none() {
+        if let Some(at) = declared.settings.stages.iter().position(|stage| stage.calls) {
+            let what =
+                format!("is missing; an address is expected, as stage `{}` calls", declared.stages[at]);
+            return Err(Fault::new("ledger", what));
+        }
+    }
     // The kernel knows no command for a call left out, so leaving one out earns nothing here.
     declared.settings.stages.iter_mut().for_each(|stage| stage.skip_part = 0.0);
     Ok(Config {
@@ -177,7 +185,7 @@
         listen: address("listen", &listen)?,
         kernel: address("kernel", &file.kernel)?,
         control: address("control", &file.control)?,
-        ledger: address("ledger", &file.ledger)?,
+        ledger,
         seed,
         stop: Duration::from_millis(file.stop_ms),
         sockets: file.limits.sockets,
--- a/crates/lynxtally-node/src/decide.rs
+++ b/crates/lynxtally-node/src/decide.rs
@@ -320,7 +320,8 @@
     fn configure(&mut self, newer: Config) {
         let fixed = self.config.fixed(&newer);
         let (kernel, ledger, control) = (newer.kernel, newer.ledger, newer.control);
-        info!(%kernel, %ledger, %control, "configuration read anew");
+        let named = ledger.map_or_else(|| "none".to_owned(), |ledger| ledger.to_string());
+        info!(%kernel, ledger = named, %control, "configuration read anew");
         if !fixed.is_empty() {
             warn!(keys = fixed.join(", "), "changed keys that take effect only at the next start");
         }
--- a/crates/lynxtally-node/src/ledger.rs
+++ b/crates/lynxtally-node/src/ledger.rs
@@ -51,20 +51,20 @@
 
 /// The connections to the ledger.
 pub struct Ledger {
-    at: Mutex<SocketAddr>,
+    at: Mutex<Option<SocketAddr>>,
     idle: Mutex<Vec<(Instant, Handle)>>,
     owner: Sender<Heard>,
     counters: Arc<Counters>,
 }
 
 impl Ledger {
-    /// A ledger to which nothing is connected yet.
-    pub fn new(at: SocketAddr, owner: Sender<Heard>, counters: Arc<Counters>) -> Self {
+    /// A ledger to which nothing is connected yet; without an address, none, and no call ever runs.
+    pub fn new(at: Option<SocketAddr>, owner: Sender<Heard>, counters: Arc<Counters>) -> Self {
         Self { at: Mutex::new(at), idle: Mutex::default(), owner, counters }
     }
 
     /// The ledger is elsewhere from now on. Calls under way end as they end.
-    pub fn move_to(&self, at: SocketAddr) {
+    pub fn move_to(&self, at: Option<SocketAddr>) {
         *wire::lock(&self.at) = at;
         for (_, handle) in wire::lock(&self.idle).drain(..) {
             handle.push(Order::Close);
@@ -182,7 +182,7 @@
     fn make(
         &self,
         call: &Call,
-        at: SocketAddr,
+        at: Option<SocketAddr>,
         kept: Option<Line>,
         handle: &Handle,
     ) -> (Ended, Option<Line>) {
@@ -190,10 +190,13 @@
         let without = |end, written| (Ended::Without { end: self.ended(end), written }, None);
         let mut line = match kept {
             Some(line) => line,
-            None => match Line::connect(at, until.saturating_duration_since(Instant::now())) {
-                Ok(line) => line,
-                Err(end) => return without(end, false),
-            },
+            None => {
+                let Some(at) = at else { return without(End::Unmade, false) };
+                match Line::connect(at, until.saturating_duration_since(Instant::now())) {
+                    Ok(line) => line,
+                    Err(end) => return without(end, false),
+                }
+            }
         };
         handle.attach(&line);
         let mut reader = http::Reader::default();
--- a/crates/lynxtally-node/tests/codecs.rs
+++ b/crates/lynxtally-node/tests/codecs.rs
@@ -217,6 +217,7 @@
         ("{", "", "no JSON: "),
         ("\"kernel\"", "\"colonel\"", "missing field `kernel`"),
         ("\"ledger\":\"127.0.0.1:9\"", "\"ledger\":\"there\"", "`ledger` is \"there\"; an address"),
+        ("\"ledger\"", "\"leger\"", "`ledger` is missing; an address is expected, as stage `a` calls"),
         ("8c1f30d27a5be964", "seed", "`seed` is \"seed\"; up to 16 hex digits"),
         ("\"sockets\":64", "\"sockets\":3", "`limits.sockets` is 3; at least"),
         ("\"stop_ms\":3000", "\"stop_ms\":\"soon\"", "`stop_ms` cannot be read: "),
@@ -230,6 +231,18 @@
     }
 }
 
+#[test]
+fn a_node_whose_stages_call_nothing_starts_without_a_ledger() {
+    // The last tier of several: the node ended at once with "missing field `ledger`".
+    let at = ([127, 0, 0, 1], 9).into();
+    let text = world::config([at; 4]).replacen("\"ledger\"", "\"leger\"", 1).replacen(
+        "[true,true]",
+        "[false,false]",
+        1,
+    );
+    assert_eq!(config::read(&text, |_| None).expect("fit").ledger, None);
+}
+
 #[test]
 fn a_repeat_waits_for_the_first_and_gets_its_result() {
     let (now, key) = (Instant::from_micros(0), (0, "k".to_owned()));
