--- a/crates/lynxtally-node/src/accept.rs
+++ b/crates/lynxtally-node/src/accept.rs
@@ -323,6 +323,7 @@
             }
         }
         self.entrance.counters.connection_ends.add(end);
+        debug!(connection = self.number, %end, "a connection ends");
         if matches!(end, End::Finished | End::Idle | End::Closed | End::Garbled | End::Expired) {
             self.stand(Stand::Leaving);
             self.linger(&mut line);
@@ -461,6 +462,7 @@
                 last
             }
             Asked::Task(sent) => {
+                debug!(id = sent.id, connection = self.number, "asked");
                 self.task = Some((sent.id.clone(), message.last));
                 let taken = Taken { sent: *sent, from: self.handle.clone() };
                 if self.entrance.owner.send(Heard::Taken(taken)).is_err() {
@@ -473,7 +475,8 @@
 
     /// Writes the final answer; tells whether the connection ends with it.
     fn answer(&mut self, out: &mut Vec<u8>, answer: &Answer) -> bool {
-        let Some((_, last)) = self.task.take() else { return false };
+        let Some((id, last)) = self.task.take() else { return false };
+        debug!(id, status = answer.status(), "answered");
         let standing = &self.entrance.standing;
         let last = last || standing.leaving();
         answer::write(out, answer, standing.free(), last);
--- a/crates/lynxtally-node/src/answer.rs
+++ b/crates/lynxtally-node/src/answer.rs
@@ -22,6 +22,18 @@
     Unfit(u16),
 }
 
+impl Answer {
+    /// The status that says so.
+    pub fn status(&self) -> u16 {
+        match self {
+            Self::Finished(_) => 200,
+            Self::Rejected { .. } => 503,
+            Self::Abandoned => 500,
+            Self::Unfit(status) => *status,
+        }
+    }
+}
+
 impl From<lynxtally_host::Answer> for Answer {
     fn from(answer: lynxtally_host::Answer) -> Self {
         use lynxtally_host::Answer as Final;
@@ -78,13 +90,13 @@
 
 /// Writes an answer; `last` announces that the connection ends with it.
 pub fn write(out: &mut Vec<u8>, answer: &Answer, free: Option<f64>, last: bool) {
-    let (status, reason, body): (u16, &str, &[u8]) = match answer {
-        Answer::Finished(result) => (200, "OK", result),
-        Answer::Rejected { .. } => (503, "Service Unavailable", b""),
-        Answer::Abandoned => (500, "Internal Server Error", b""),
-        Answer::Unfit(status) => (*status, "Unfit", b""),
+    let (reason, body): (&str, &[u8]) = match answer {
+        Answer::Finished(result) => ("OK", result),
+        Answer::Rejected { .. } => ("Service Unavailable", b""),
+        Answer::Abandoned => ("Internal Server Error", b""),
+        Answer::Unfit(_) => ("Unfit", b""),
     };
-    head(out, status, reason, body.len(), free, last);
+    head(out, answer.status(), reason, body.len(), free, last);
     if let Answer::Rejected { hold_off, terminal } = answer {
         if *hold_off > Span::ZERO {
             line(out, format_args!("X-Pushback-Ms: {}", hold_off.micros().div_ceil(1000)));
--- a/crates/lynxtally-node/src/decide.rs
+++ b/crates/lynxtally-node/src/decide.rs
@@ -350,12 +350,14 @@
             stage: sent.stage,
             customer: sent.customer,
             caller: sent.caller,
+            hint: sent.hint_ms.map(|hint| Span::from_secs(hint / 1000.0)),
+            limit: sent.limit_ms.map(|limit| Instant::from_micros(limit * 1000)),
+            further: sent.further,
             unread: now - Instant::from_micros(sent.arrived_ms.saturating_mul(1000)),
             key: mark.map(|mark| (sent.stage, mark)),
             shareable: sent.subject.is_some(),
             kb: sent.kb,
             place: sent.place,
-            ..Entry::default()
         };
         debug!(id = sent.id, stage = sent.stage, unread_ms = entry.unread.micros() / 1000, "task read");
         let work = Work {
--- a/crates/lynxtally-node/src/http.rs
+++ b/crates/lynxtally-node/src/http.rs
@@ -52,6 +52,12 @@
     pub customer: Option<usize>,
     /// The sidecar's number.
     pub caller: u64,
+    /// When the sidecar gives this try up, in Unix milliseconds, where it says so.
+    pub limit_ms: Option<u64>,
+    /// The expected work on a standard core, in milliseconds, where the sidecar says so.
+    pub hint_ms: Option<f64>,
+    /// Whether it is marked as a further try.
+    pub further: bool,
     /// Its memory while held.
     pub kb: f64,
     /// Its place among all tasks, from 0 to under 1.
@@ -263,6 +269,9 @@
     arrived: Option<&'a str>,
     caller: Option<&'a str>,
     customer: Option<&'a str>,
+    left: Option<&'a str>,
+    hint: Option<&'a str>,
+    further: Option<&'a str>,
     kb: Option<&'a str>,
     place: Option<&'a str>,
     subject: Option<&'a str>,
@@ -273,6 +282,9 @@
 const ARRIVED: &str = "X-Arrived-Ms";
 const CALLER: &str = "X-Upstream-Peer";
 const CUSTOMER: &str = "X-Org";
+const LEFT: &str = "X-Deadline-Ms";
+const HINT: &str = "X-Estimate-Ms";
+const FURTHER: &str = "X-Resent";
 const KB: &str = "X-Need-Kb";
 const PLACE: &str = "X-Criticality";
 const SUBJECT: &str = "X-Subject";
@@ -304,6 +316,9 @@
                     (ARRIVED, &mut found.arrived),
                     (CALLER, &mut found.caller),
                     (CUSTOMER, &mut found.customer),
+                    (LEFT, &mut found.left),
+                    (HINT, &mut found.hint),
+                    (FURTHER, &mut found.further),
                     (KB, &mut found.kb),
                     (PLACE, &mut found.place),
                     (SUBJECT, &mut found.subject),
@@ -338,6 +353,9 @@
         let kb: f64 = number(self.kb, KB)?;
         let place: f64 = number(self.place, PLACE)?;
         let arrived_ms: u64 = number(self.arrived, ARRIVED)?;
+        let left: Option<f64> = self.left.map(|left| number(Some(left), LEFT)).transpose()?;
+        let hint: Option<f64> = self.hint.map(|hint| number(Some(hint), HINT)).transpose()?;
+        let longest = names.longest_ms as f64;
         Ok(Sent {
             id: self.id.filter(hex).ok_or(Bad::Field(ID))?.to_owned(),
             // What came before anybody's limit or will come in the future would teach the module nonsense.
@@ -348,6 +366,10 @@
                 None => within(None, names.customers.is_empty(), CUSTOMER)?,
             },
             caller: number(self.caller, CALLER)?,
+            // Nobody waits longer, and nothing that may last longer is worth a longer guess.
+            limit_ms: left.map(|left| arrived_ms + left.min(longest) as u64),
+            hint_ms: hint.map(|hint| hint.min(longest)).filter(|hint| *hint > 0.0),
+            further: self.further.is_some_and(|further| further != "0"),
             kb: within(kb, kb > 0.0 && kb < KB_MOST, KB)?,
             place: within(place, (0.0..1.0).contains(&place), PLACE)?,
             subject: mark(self.subject, SUBJECT)?,
--- a/crates/lynxtally-node/tests/codecs.rs
+++ b/crates/lynxtally-node/tests/codecs.rs
@@ -31,6 +31,9 @@
         stage: 1,
         customer: Some(0),
         caller: 4,
+        limit_ms: None,
+        hint_ms: None,
+        further: false,
         kb: 24.5,
         place: 0.625,
         subject: None,
@@ -55,6 +58,23 @@
     }
 }
 
+#[test]
+fn a_task_may_say_how_long_its_caller_waits_what_it_costs_and_that_it_comes_again() {
+    // The books' sidecars give tries up long before their stage's limit: tasks were answered when nobody waited.
+    let with = |fields: &str| match asked(&TASK.replace("X-Org", &format!("{fields}\r\nX-Org"))) {
+        Ok(Some(Message { what: Asked::Task(sent), .. })) => (sent.limit_ms, sent.hint_ms, sent.further),
+        other => panic!("{other:?}"),
+    };
+    let told = with("X-Deadline-Ms: 1500\r\nX-Estimate-Ms: 466.58\r\nX-Resent: 1");
+    assert_eq!(told, (Some(1_764_576_001_623), Some(466.58), true));
+    let huge = with("X-Deadline-Ms: 999999999999999999999\r\nX-Estimate-Ms: 0\r\nX-Resent: 0");
+    assert_eq!(huge, (Some(1_764_576_002_123), None, false), "nobody waits longer than the longest limit");
+    let bad = |field: &str| {
+        asked(&TASK.replace("X-Org", &format!("{field}\r\nX-Org"))).expect_err("unfit").status()
+    };
+    assert_eq!((bad("X-Deadline-Ms: soon"), bad("X-Estimate-Ms: -1")), (400, 400));
+}
+
 #[test]
 fn several_messages_in_one_read_come_one_after_another() {
     let text = format!("{TASK}GET /alive HTTP/1.1\r\nConnection: close\r\n\r\n{TASK}");
--- a/crates/lynxtally-node/tests/stories.rs
+++ b/crates/lynxtally-node/tests/stories.rs
@@ -302,7 +302,7 @@
 fn a_call_that_is_refused_never_ran() {
     let (owner, heard) = channel();
     // Nobody listens on this address of loopback.
-    let ledger = Arc::new(Ledger::new(([127, 9, 9, 9], 9).into(), owner, Arc::default()));
+    let ledger = Arc::new(Ledger::new(Some(([127, 9, 9, 9], 9).into()), owner, Arc::default()));
     let call = Call { id: id(1), number: 7, time_out: Span::from_millis(20_000), body: vec![] };
     assert!(ledger.call(call).is_some());
     let Ok(Heard::Called { number: 7, ended, .. }) = heard.recv() else { panic!("something else is heard") };
@@ -499,7 +499,7 @@
         owner: owner.clone(),
         reporter: Reporter::new(states),
         kernel: Arc::new(Orders::new(at)),
-        ledger: Arc::new(Ledger::new(at, owner.clone(), counters.clone())),
+        ledger: Arc::new(Ledger::new(Some(at), owner.clone(), counters.clone())),
         entrance,
         standing: standing.clone(),
         counters,
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -487,6 +487,11 @@
 
         /// The same for a node that may hold so many descriptors, whatever its configuration says.
         pub fn limited(program: &str, descriptors: u32) -> Self {
+            Self::with(program, descriptors, |text| text)
+        }
+
+        /// The same for a node that is told something else.
+        pub fn with(program: &str, descriptors: u32, told: impl FnOnce(String) -> String) -> Self {
             static NEXT: AtomicU32 = AtomicU32::new(0);
             let number = NEXT.fetch_add(1, Ordering::Relaxed);
             let folder = std::env::temp_dir().join(format!("lynxtally-{}-{number}", std::process::id()));
@@ -501,8 +506,8 @@
             let [high, low] = [process / 250 % 250, process % 250].map(|part| part as u8);
             let free: SocketAddr = ([127, 10 + number as u8, high, low + 1], 8443).into();
             let path = folder.join("config.json");
-            let told =
-                config([free, kernel.listen(), ledger.listen(), control.local_addr().expect("an address")]);
+            let at = [free, kernel.listen(), ledger.listen(), control.local_addr().expect("an address")];
+            let told = told(config(at));
             std::fs::write(&path, &told).expect("a file");
             let start = format!("ulimit -n {descriptors}; exec \"$0\" \"$1\"");
             let node = Command::new("sh")
