--- /dev/null
+++ b/crates/lynxtally-node/src/accept/connection.rs
@@ -0,0 +1,203 @@
+//! One connection from a sidecar: read eagerly, one task at a time.
+
+use super::{Entrance, Handle, Order, Stand, Taken};
+use crate::answer::{self, Answer};
+use crate::heard::Heard;
+use crate::http::{Asked, Message, Reader};
+use lynxtally_wire::end::End;
+use lynxtally_wire::line::{self as wire, Filled, Line};
+use std::time::Instant;
+use tracing::{debug, warn};
+
+/// What is read at once of what nobody will look at.
+const LINGER_CHUNK: usize = 16 * 1024;
+
+/// One connection while it is served.
+pub(super) struct Connection<'a> {
+    pub entrance: &'a Entrance,
+    pub handle: &'a Handle,
+    pub number: u64,
+    /// The task whose answer is awaited, and whether the sidecar wants no further one here.
+    pub task: Option<(String, bool)>,
+}
+
+impl Connection<'_> {
+    /// Carries the connection from its first byte to its last.
+    pub fn carry(mut self, mut line: Line) {
+        let end = wire::guarded(|| self.serve(&mut line)).unwrap_or_else(|text| {
+            warn!(text, "a connection's coroutine failed");
+            End::Failed
+        });
+        if let Some((id, _)) = self.task.take() {
+            if end == End::Failed {
+                answer::write(line.out(), &Answer::Abandoned, None, true);
+                // If it does not go, the connection ends without it.
+                let _ = line.flush();
+            }
+            if end.caller_gone() {
+                let from = self.handle.clone();
+                // The owner is gone only with the program.
+                let _ = self.entrance.owner.send(Heard::CallerGone { id, from, end });
+            }
+        }
+        self.entrance.counters.connection_ends.add(end);
+        debug!(connection = self.number, %end, "a connection ends");
+        if matches!(end, End::Finished | End::Idle | End::Closed | End::Garbled | End::Expired) {
+            self.stand(Stand::Leaving);
+            self.linger(&mut line);
+        }
+        wire::lock(&self.entrance.open).remove(&self.number);
+        for order in self.handle.close() {
+            if matches!(order, Order::Answer(_)) {
+                self.entrance.counters.answers_lost.add();
+            }
+        }
+    }
+
+    /// Ends the writing side and reads on: a socket closed with unread bytes would reset the connection and
+    /// lose the last answer. Bounded in bytes here, and in time by the sweep.
+    fn linger(&self, line: &mut Line) {
+        if !line.shutdown() {
+            return;
+        }
+        let (mut scratch, mut left) = (Vec::new(), self.entrance.bounds.linger_bytes);
+        while left > 0 {
+            while let Some(order) = self.handle.take() {
+                if matches!(order, Order::Close(_)) {
+                    return;
+                }
+            }
+            scratch.clear();
+            match line.fill(&mut scratch, LINGER_CHUNK) {
+                Ok(Filled::End) | Err(_) => return,
+                Ok(Filled::All) if scratch.is_empty() => line.wait(),
+                Ok(_) => may::coroutine::yield_now(),
+            }
+            left = left.saturating_sub(scratch.len());
+        }
+    }
+
+    /// Notes how the connection stands from now on.
+    fn stand(&self, stand: Stand) {
+        if let Some(seat) = wire::lock(&self.entrance.open).get_mut(&self.number) {
+            (seat.stand, seat.since, seat.told) = (stand, Instant::now(), false);
+        }
+    }
+
+    fn serve(&mut self, line: &mut Line) -> End {
+        let mut reader = Reader::default();
+        let (mut last, mut sends, mut stood) = (None, true, Stand::New);
+        loop {
+            let (mut filled, mut close, mut moved) = (Filled::All, None, false);
+            while let Some(order) = self.handle.take() {
+                match order {
+                    Order::Answer(answer) => {
+                        let ends = self.answer(line.out(), &answer);
+                        last = last.or(ends.then_some(End::Finished));
+                        moved = true;
+                    }
+                    Order::Close(end) => close = Some(end),
+                }
+            }
+            if sends && last.is_none() {
+                match line.fill(&mut reader.buffer, Reader::ROOM) {
+                    Ok(found) => filled = found,
+                    Err(end) => return end,
+                }
+                sends = filled != Filled::End;
+            }
+            while self.task.is_none() && last.is_none() {
+                match reader.next_asked(&self.entrance.names, self.entrance.clock.micros() / 1000) {
+                    Ok(Some(message)) => {
+                        last = self.asked(message, line.out()).then_some(End::Finished);
+                        moved = true;
+                    }
+                    Ok(None) => break,
+                    Err(bad) => {
+                        debug!(%bad, "a message can't be taken");
+                        self.entrance.count_bad(bad);
+                        let free = self.entrance.standing.free();
+                        answer::write(line.out(), &Answer::Unfit(bad.status()), free, true);
+                        last = Some(End::Garbled);
+                    }
+                }
+            }
+            if let Err(end) = line.flush() {
+                return end;
+            }
+            if self.task.is_none() && !sends && last.is_none() {
+                last = Some(if reader.buffer.is_empty() { End::Closed } else { End::Truncated });
+            }
+            // Told to close, it does so only where nothing is under way, once all that came is read.
+            if let Some(end) = close.filter(|_| self.task.is_none() && !moved) {
+                if !line.clear() {
+                    return End::Reset;
+                }
+                if last.is_none() && (end != End::Idle || reader.buffer.is_empty()) {
+                    last = Some(end);
+                }
+            }
+            // A sidecar that sends no more and reads no more either is gone.
+            if !sends && line.broken() {
+                return End::Reset;
+            }
+            match last {
+                Some(end) if line.clear() && self.task.is_none() => return end,
+                _ => {}
+            }
+            let stand = match stood {
+                _ if self.task.is_some() => Stand::Busy,
+                // Bytes that make no message yet give it no further time.
+                Stand::New if !moved => Stand::New,
+                _ if !line.clear() || !reader.buffer.is_empty() => Stand::Halfway,
+                _ => Stand::Resting,
+            };
+            if moved || stand != stood {
+                stood = stand;
+                self.stand(stand);
+            }
+            if reader.buffer.is_empty() {
+                // What rests needs no buffer.
+                reader.buffer = Vec::new();
+            }
+            // What there was no room for is read now, or, while a task is open, after its answer.
+            if filled == Filled::Full && reader.buffer.len() < Reader::ROOM {
+                may::coroutine::yield_now();
+            } else {
+                line.wait();
+            }
+        }
+    }
+
+    /// Takes one message; tells whether the connection ends with it.
+    fn asked(&mut self, message: Message<Asked>, out: &mut Vec<u8>) -> bool {
+        let standing = &self.entrance.standing;
+        match message.what {
+            Asked::Health => {
+                self.entrance.counters.health_checks.add();
+                let last = message.last || standing.leaving();
+                answer::write_health(out, standing.healthy(), standing.free(), last);
+                last
+            }
+            Asked::Task(sent) => {
+                debug!(id = sent.id, connection = self.number, "asked");
+                self.task = Some((sent.id.clone(), message.last));
+                let taken = Taken { sent: *sent, from: self.handle.clone() };
+                if self.entrance.owner.send(Heard::Taken(taken)).is_err() {
+                    return self.answer(out, &Answer::Abandoned);
+                }
+                false
+            }
+        }
+    }
+
+    /// Writes the final answer; tells whether the connection ends with it.
+    fn answer(&mut self, out: &mut Vec<u8>, answer: &Answer) -> bool {
+        let Some((id, last)) = self.task.take() else { return false };
+        debug!(id, status = answer.status(), "answered");
+        let standing = &self.entrance.standing;
+        let last = last || standing.leaving();
+        answer::write(out, answer, standing.free(), last);
+        last
+    }
+}
