A mark stands for one body of one customer, and is known by arrival, not by reading

Cause: decide.rs `taken` knew a repeat by stage and mark alone, host/repeats.rs gave it what the mark's run had made. Marks copied ahead of their owner keep nobody out: what the kernel does not start is forgotten.

Found by reading beside it: a repeat that came within the window and was read after it ran a second time, as repeats.rs looked at the time of reading; the window is now counted to its arrival, and a key is known for as long after as a task may lie unread. A name in use was answered 503 ("never ran") also where the effect counts; now 500. EINVAL to RESCHED counts as a failed run, not as one never started.

--- a/crates/core/host/src/lib.rs
+++ b/crates/core/host/src/lib.rs
@@ -13,7 +13,7 @@
 mod repeats;
 
 pub use purses::{Purse, Spent};
-pub use repeats::{Key, Repeats, Settled};
+pub use repeats::{Conflict, Fingerprint, Key, Repeats, Settled};
 
 use purses::{Held, Purses};
 
@@ -116,6 +116,27 @@
     NeverRan(Span),
 }
 
+/// Why a task was not taken in. It never ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// Nothing decides yet. The front answers that it was rejected.
+    NotStarted,
+    /// Its name is another's. The same.
+    NameInUse,
+    /// It came under the key of another task and is not the same. The front answers that it failed: whoever takes
+    /// them for one must not hear that neither ran.
+    Conflict,
+}
+
+/// A task that was not taken in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Denied<F> {
+    /// Where it is awaited.
+    pub from: F,
+    /// Why.
+    pub why: Why,
+}
+
 /// What a front tells of a task that it read.
 #[derive(Clone, Debug, Default)]
 pub struct Entry {
@@ -135,6 +156,8 @@
     pub further: bool,
     /// By what its repeats are known.
     pub key: Option<Key>,
+    /// What else its repeats have in common with it.
+    pub fingerprint: Fingerprint,
     /// Whether it concerns something named that other tasks may share.
     pub shareable: bool,
     /// Its memory in the hold, in kilobytes.
@@ -295,8 +318,12 @@
         self.open.get(task.0 as usize)?.as_ref()
     }
 
-    /// Takes a task in. Before anything decides, and under a name that is in use, where it is awaited comes
-    /// back: it never ran, and the front answers so.
+    /// Tasks may lie unread for so long at most, which is how late a repeat may be read.
+    pub fn set_unread(&mut self, unread: Span) {
+        self.repeats.set_unread(unread);
+    }
+
+    /// Takes a task in. One that can't be comes back with the reason, and the front answers it.
     pub fn enter(
         &mut self,
         now: Instant,
@@ -304,18 +331,26 @@
         entry: Entry,
         work: W,
         from: F,
-    ) -> Result<TaskId, F> {
+    ) -> Result<TaskId, Denied<F>> {
         self.tally.read += 1;
         if self.decide.is_none() || name.is_some_and(|name| self.door.find(name).is_some()) {
             self.tally.rejected += 1;
-            return Err(from);
+            let why = if self.decide.is_none() { Why::NotStarted } else { Why::NameInUse };
+            return Err(Denied { from, why });
         }
         let task = match name {
             Some(name) => self.door.enter(name),
             None => self.door.seat(),
         };
+        // A repeat is one by when it came, not by when it is read.
+        let (came, fingerprint) = (now - entry.unread, entry.fingerprint);
+        let arrive = |key| self.repeats.arrive(came, key, fingerprint, task);
+        let Ok(repeat) = entry.key.as_ref().map_or(Ok(Repeat::No), arrive) else {
+            self.door.leave(task);
+            self.tally.abandoned += 1;
+            return Err(Denied { from, why: Why::Conflict });
+        };
         self.tally.open += 1;
-        let repeat = entry.key.as_ref().map_or(Repeat::No, |key| self.repeats.arrive(now, key, task));
         let cover = self.purses.cover(entry.customer, entry.stage);
         let at = task.0 as usize;
         if self.open.len() <= at {
@@ -404,13 +439,14 @@
                 RunOutcome::Answered
             }
             RunEnd::Stopped => RunOutcome::Cancelled,
-            RunEnd::Moot => RunOutcome::Moot,
+            RunEnd::Moot => {
+                // Nothing was started: whoever comes under its key next is the first.
+                self.forget(task, answerer);
+                RunOutcome::Moot
+            }
             RunEnd::NeverRan(hold_off) => {
                 // A repeat of it is the first that can be done.
-                if let Some(key) = self.key(task) {
-                    let settled = self.repeats.forget(&key, task);
-                    self.settle_repeats(settled, answerer);
-                }
+                self.forget(task, answerer);
                 self.answer(task, Answer::Rejected { hold_off, terminal: false }, answerer);
                 RunOutcome::Moot
             }
@@ -590,12 +626,7 @@
                         self.repeats.keep(now, &key, task, span);
                     }
                 }
-                Action::Forget(task) => {
-                    if let Some(key) = self.key(task) {
-                        let settled = self.repeats.forget(&key, task);
-                        self.settle_repeats(settled, answerer);
-                    }
-                }
+                Action::Forget(task) => self.forget(task, answerer),
             }
         }
         self.actions = actions;
@@ -632,6 +663,14 @@
         executor.release(task, open.work);
     }
 
+    /// Drops a task's key.
+    fn forget(&mut self, task: TaskId, answerer: &mut impl Answerer<F>) {
+        if let Some(key) = self.key(task) {
+            let settled = self.repeats.forget(&key, task);
+            self.settle_repeats(settled, answerer);
+        }
+    }
+
     fn key(&self, task: TaskId) -> Option<Key> {
         self.inside(task)?.key.clone()
     }
--- a/crates/core/host/src/repeats.rs
+++ b/crates/core/host/src/repeats.rs
@@ -1,7 +1,10 @@
 //! Which tasks repeat one another, and the results kept for them: what the module's `Keep`, `Forget` and
 //! `Reuse` need.
 //!
-//! Assumed, as the pages leave it open: a fingerprinted task carries its mark in `X-Operation-Key`.
+//! A task is the same as an earlier one where key and fingerprint are. One that comes under the key of another with
+//! a fingerprint of its own is in conflict with it: it is neither run nor given the other's result. Catches marks that
+//! were copied or guessed and such as a client uses twice; harms a client whose further tries differ in their bodies:
+//! they fail, and nothing runs twice.
 
 use lynxtally::{Instant, Repeat, Span, TaskId};
 use std::collections::BTreeMap;
@@ -9,6 +12,13 @@
 /// By what repeats are known: the stage's index, and the mark or subject.
 pub type Key = (usize, String);
 
+/// By what tasks under one key are told apart, such as a digest of their bodies. All alike where a front gives none.
+pub type Fingerprint = [u8; 32];
+
+/// A task came under the key of another, and is not the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Conflict;
+
 /// How far the first of a key is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum First {
@@ -20,6 +30,7 @@
 
 struct Entry {
     task: TaskId,
+    fingerprint: Fingerprint,
     /// Whether the module has taken the task's index back.
     released: bool,
     until: Option<Instant>,
@@ -30,6 +41,18 @@
     paid: bool,
 }
 
+impl Entry {
+    /// Whether a task that came then is told of this one.
+    fn known(&self, came: Instant) -> bool {
+        !self.released || self.until.is_some_and(|until| until > came)
+    }
+
+    /// Whether nobody can be told of it any more: what came within its time may be read for so long after.
+    fn over(&self, now: Instant, unread: Span) -> bool {
+        self.released && self.until.is_none_or(|until| until + unread <= now)
+    }
+}
+
 /// A repeat and the result it is answered with, if there is one.
 pub type Settled = (TaskId, Option<Vec<u8>>);
 
@@ -38,28 +61,40 @@
     entries: BTreeMap<Key, Entry>,
     bytes: usize,
     most: usize,
+    /// How long a task may have lain unread at most.
+    unread: Span,
 }
 
 impl Repeats {
     /// No keys yet; results take so many bytes at most.
     pub fn new(most: usize) -> Self {
-        Self { entries: BTreeMap::new(), bytes: 0, most }
+        Self { entries: BTreeMap::new(), bytes: 0, most, unread: Span::ZERO }
     }
 
-    /// What an arriving task repeats. One that repeats nothing becomes the first of its key.
-    pub fn arrive(&mut self, now: Instant, key: &Key, task: TaskId) -> Repeat {
-        match self.entries.get(key) {
-            Some(entry) if entry.until.is_some_and(|until| until > now) || !entry.released => {
-                if entry.released {
-                    Repeat::OfReleased
-                } else {
-                    Repeat::Of(entry.task)
-                }
-            }
-            _ => {
+    /// Tasks may lie unread for so long at most: for so long after its time a key is still known to those that came
+    /// within it.
+    pub fn set_unread(&mut self, unread: Span) {
+        self.unread = unread;
+    }
+
+    /// What a task that came to the machine then repeats, however late it is read. One that repeats nothing becomes
+    /// the first of its key.
+    pub fn arrive(
+        &mut self,
+        came: Instant,
+        key: &Key,
+        fingerprint: Fingerprint,
+        task: TaskId,
+    ) -> Result<Repeat, Conflict> {
+        match self.entries.get(key).filter(|entry| entry.known(came)) {
+            Some(entry) if entry.fingerprint != fingerprint => Err(Conflict),
+            Some(entry) if entry.released => Ok(Repeat::OfReleased),
+            Some(entry) => Ok(Repeat::Of(entry.task)),
+            None => {
                 self.remove(key);
                 let entry = Entry {
                     task,
+                    fingerprint,
                     released: false,
                     until: None,
                     first: First::Open,
@@ -67,7 +102,7 @@
                     paid: false,
                 };
                 self.entries.insert(key.clone(), entry);
-                Repeat::No
+                Ok(Repeat::No)
             }
         }
     }
@@ -127,7 +162,7 @@
         }
         if let Some(entry) = self.entries.get_mut(key).filter(|entry| entry.task == task) {
             entry.released = true;
-            if entry.until.is_none_or(|until| until <= now) {
+            if entry.over(now, self.unread) {
                 self.remove(key);
             }
         }
@@ -141,7 +176,7 @@
 
     /// Drops the keys whose time is over.
     pub fn sweep(&mut self, now: Instant) {
-        let over = |entry: &Entry| entry.released && entry.until.is_none_or(|until| until <= now);
+        let over = |entry: &Entry| entry.over(now, self.unread);
         let keys: Vec<Key> =
             self.entries.iter().filter(|(_, e)| over(e)).map(|(key, _)| key.clone()).collect();
         for key in keys {
--- a/crates/fronts/dns/src/server.rs
+++ b/crates/fronts/dns/src/server.rs
@@ -12,7 +12,7 @@
 use crate::tsig::Keys;
 use crate::udp;
 use lynxtally::{CallOutcome, Instant, Policy, Span};
-use lynxtally_host::{Answer, Answerer, Decide, Entry, Host, RunEnd};
+use lynxtally_host::{Answer, Answerer, Decide, Denied, Entry, Host, RunEnd};
 use lynxtally_journal::{Disk, Journal, Rotation};
 use lynxtally_names::change::{between, Change};
 use lynxtally_names::file;
@@ -704,7 +704,7 @@
         let room = Room { most, payload };
         let ask =
             Arc::new(Ask { asked, peer: via, from, signer, room, cookie, streaming: AtomicBool::new(false) });
-        if let Err(ask) = self.host.enter(now, None, entry, ask.clone(), ask) {
+        if let Err(Denied { from: ask, .. }) = self.host.enter(now, None, entry, ask.clone(), ask) {
             let octets = ask.code(Code::FAIL, None);
             self.desk.put(&ask.peer, from, octets);
         }
--- a/crates/lynxtally-node/src/decide.rs
+++ b/crates/lynxtally-node/src/decide.rs
@@ -8,11 +8,13 @@
 use crate::control::Reporter;
 use crate::counters::Counters;
 use crate::heard::{Ended, Handle, Heard, Notice, Reaped, Said, Taken};
+use crate::http::Names;
 use crate::kernel::{Command, Orders};
 use crate::ledger::{self, Call, Ledger};
+use crate::repeat;
 use crate::shares::Shares;
 use lynxtally::{CallOutcome, Effect, Gauges, Instant, Policy, Span, TaskId};
-use lynxtally_host::{Answerer, Entry, Executor, Host, RunEnd};
+use lynxtally_host::{Answerer, Denied, Entry, Executor, Host, RunEnd, Why};
 use lynxtally_wire::alarm::Alarm;
 use lynxtally_wire::clock::Clock;
 use may::sync::mpsc::{Receiver, Sender};
@@ -220,6 +222,8 @@
         let Parts { alarm, owner, reporter, kernel, ledger, entrance, standing, counters, shares } = parts;
         let mut host = Host::new(config.bounds().results);
         host.set(Instant::default(), Due::Sweep);
+        // The codec takes nothing that came longer ago.
+        host.set_unread(Span::from_millis(Names::of(&config.declared).longest_ms));
         let stages = config.declared.stages.clone();
         Self {
             config,
@@ -362,11 +366,8 @@
     fn taken(&mut self, now: Instant, Taken { sent, from }: Taken) {
         self.counters.tasks.add(sent.stage);
         let settings = &self.config.declared.settings;
-        let mark = match settings.stages[sent.stage].effect {
-            Effect::Restartable => sent.subject.clone().filter(|_| settings.share_for > Span::ZERO),
-            Effect::Fingerprinted => sent.mark,
-            Effect::SideEffecting => None,
-        };
+        let effect = settings.stages[sent.stage].effect;
+        let known = repeat::known_by(&sent, effect, settings.share_for > Span::ZERO);
         let entry = Entry {
             stage: sent.stage,
             customer: sent.customer,
@@ -375,7 +376,8 @@
             limit: sent.limit_ms.map(|limit| Instant::from_micros(limit * 1000)),
             further: sent.further,
             unread: now - Instant::from_micros(sent.arrived_ms.saturating_mul(1000)),
-            key: mark.map(|mark| (sent.stage, mark)),
+            key: known.key,
+            fingerprint: known.fingerprint,
             shareable: sent.subject.is_some(),
             kb: sent.kb,
             place: sent.place,
@@ -392,18 +394,23 @@
         };
         match self.host.enter(now, Some(&sent.id), entry, work, from) {
             Ok(_) => self.counters.open.add(),
-            // Before the kernel is up there is no module to ask, and a name that is inside already can't be
-            // told from the task that has it. Neither is expected; neither ran.
-            Err(from) => {
+            Err(Denied { from, why }) => {
                 if self.counters.tasks_refused.get() == 0 {
-                    warn!(
-                        id = sent.id,
-                        "a task before the kernel is up, or under a name that is in use; later only counted"
-                    );
+                    warn!(id = sent.id, ?why, "a task not taken in; later ones are only counted");
                 }
                 self.counters.tasks_refused.add();
-                self.counters.rejected.add();
-                let answer = Answer::Rejected { hold_off: Span::ZERO, terminal: false };
+                // Before the kernel is up there is no module to ask, and a name that is inside already can't be
+                // told from the task that has it: neither ran. But where the effect counts, that must not be said
+                // of what may be taken for the one that runs.
+                let never_ran =
+                    why == Why::NotStarted || why == Why::NameInUse && effect == Effect::Restartable;
+                let answer = if never_ran {
+                    self.counters.rejected.add();
+                    Answer::Rejected { hold_off: Span::ZERO, terminal: false }
+                } else {
+                    self.counters.abandoned.add();
+                    Answer::Abandoned
+                };
                 from.push(accept::Order::Answer(answer));
             }
         }
@@ -456,12 +463,16 @@
                     warn!(id, command, "the kernel did not carry out a command; later ones are only counted");
                 }
                 self.counters.kernel_refused.add();
-                if command == "SCHED" || command == "RESCHED" {
-                    // The run will never be heard of again: the task must not hang on it.
-                    if let Some((task, work)) = self.find(&id) {
-                        work.unconfirmed.clear();
-                        self.end_run(now, task, RunEnd::Moot);
-                    }
+                // The run will never be heard of again: the task must not hang on it. One that was to go on had
+                // begun before.
+                let end = match command.as_str() {
+                    "SCHED" => RunEnd::Moot,
+                    "RESCHED" => RunEnd::Failed,
+                    _ => return,
+                };
+                if let Some((task, work)) = self.find(&id) {
+                    work.unconfirmed.clear();
+                    self.end_run(now, task, end);
                 }
             }
             Notice::Remark(text) => debug!(text, "the kernel remarks"),
--- a/crates/lynxtally-node/src/lib.rs
+++ b/crates/lynxtally-node/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod kernel;
 pub mod ledger;
 pub mod node;
+pub mod repeat;
 pub mod shares;
