A repeat of what ran is answered from its run also while leaving and without cover

So a further try of a marked task that reached a leaving node after the grace was answered 503, "never ran", and its caller could take it to another node.

Now a repeat whose effect may have happened is answered from the first run in both cases. Reads that are shared are no effect: without cover they are refused as before. The story fails with the old order.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -396,25 +396,26 @@
         self.put(id, Place::Held);
         self.likeness.note(arrival.caller, GAIN);
         self.unread += (arrival.unread.secs() - self.unread) * UNREAD_GAIN;
-        if self.kill.is_some_and(|(grace, _)| came >= grace) {
-            return self.reject(id, false);
-        }
-        // Nobody has paid for it: not eligible, whatever its utility, and told when to come back.
-        if !arrival.covered {
-            return self.end(id, Action::Reject { task: id, hold_off: self.set.hold_off, terminal: false });
-        }
-        // An effect that may have happened is answered from its first run, never run again or rejected.
+        // An effect that may have happened is answered from its first run, never run again or rejected: also while
+        // leaving, and where nobody has paid for it anew.
         let again = match arrival.repeat {
             Repeat::No => false,
             Repeat::OfReleased => true,
             Repeat::Of(_) if effect == Effect::Restartable => true,
             Repeat::Of(first) => self.task(first).is_some_and(|t| t.ran || t.place != Place::Over),
         };
+        // Nobody has paid for it: not eligible, whatever its utility, and told when to come back.
+        if !arrival.covered && (effect == Effect::Restartable || !again) {
+            return self.end(id, Action::Reject { task: id, hold_off: self.set.hold_off, terminal: false });
+        }
         if again {
             self.inside(id).ran = true;
             self.put(id, Place::Reusing);
             return self.look(id);
         }
+        if self.kill.is_some_and(|(grace, _)| came >= grace) {
+            return self.reject(id, false);
+        }
         let shared = effect == Effect::Restartable && arrival.shareable && self.set.share_for > Span::ZERO;
         if effect == Effect::Fingerprinted || shared {
             let until = came + if shared { self.set.share_for } else { window + early };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -420,6 +420,30 @@
     assert!(host.did.contains(&Action::Release(first)));
 }
 
+#[test]
+fn a_repeat_of_what_ran_is_not_rejected_while_leaving_nor_for_want_of_cover() {
+    // It was: the point after which nothing is run, and what is paid for, were looked at first.
+    let mut set = settings();
+    set.stages[0].effect = Effect::Fingerprinted;
+    for (kill, covered) in [(true, true), (false, false)] {
+        let mut host = Host::new(set.clone());
+        let first = host.plain(0, 0);
+        host.end(100, first);
+        if kill {
+            host.happen(200, [Event::Drain(host.at(3200))]);
+        }
+        for (ms, repeat) in [(1500, Repeat::Of(first)), (1600, Repeat::OfReleased)] {
+            let again = host.arrive(ms, 0, |a| (a.repeat, a.covered) = (repeat, covered));
+            assert!(host.did.contains(&Action::Reuse(again)) && !host.rejected(again), "{repeat:?}");
+        }
+        let new = host.arrive(1700, 0, |a| a.covered = covered);
+        assert!(host.rejected(new) && !host.ran(new));
+        // What may be shared is not an effect: it is paid for like any other.
+        let read = host.arrive(1800, 1, |a| (a.repeat, a.covered) = (Repeat::OfReleased, covered));
+        assert_eq!(host.rejected(read), !covered);
+    }
+}
+
 #[test]
 fn an_effect_that_ran_is_not_rejected_and_its_call_not_repeated() {
     let mut set = Settings { below: Below::Tier, ..settings() };
