A client that never stops sending starved the node; closings read on, and refuse what can't be answered

Three connections that send empty lines without end kept the whole node from answering anybody for over 20 s (story: one task's answer waited for in vain). accept/connection.rs and listener.rs let others go first by `yield_now`; such a coroutine stands first in its worker's line again, and the worker never looks at its events. Who could go on without waiting now sleeps 1 ms. A client that sent health checks and read no answer had all of them read and answered into a buffer without bound (64 MB taken in the story); it is not read while its answers are not taken. - Closing the listener. An accept that failed for want of descriptors ended the loop, and all that waited behind it was reset (story: the task of the one that waits). It goes on, and the longest at rest makes room. Between the last look at what waits and the closing a connection could begin: requests for one are left unanswered from before that look (gate.rs `begin_none`, a packet filter), so none is reset. - Making room closed over unread bytes and so reset the connection with its last answer; it half-closes and reads on for 20 ms. Half a message was cut off by the program's end; 60 ms before it all without a task are half-closed. - SIGTERM before the kernel is up ended the program as the kill came, as the module's period was not known. Signals are now listened to before connections are. - A call whose time was over before its first octet was written is not begun: the connection looks at the clock right before, and the wire says what is left. A node that was stopped on the way wrote it on waking.

--- a/crates/fronts/wire/src/gate.rs
+++ b/crates/fronts/wire/src/gate.rs
@@ -35,6 +35,32 @@
     Ok(socket.into())
 }
 
+/// Instructions of the system's packet filter: load an octet, mask it, compare it, end with a verdict.
+const LOAD: u16 = 0x30;
+const AND: u16 = 0x54;
+const IS: u16 = 0x15;
+const VERDICT: u16 = 0x06;
+/// Where a TCP segment's flags stand, and those that tell a request for a connection from what follows it.
+const FLAGS_AT: u32 = 13;
+const SYN: u32 = 0x02;
+const SYN_AND_ACK: u32 = 0x12;
+
+/// From now on no connection begins at a listener, and those whose beginning is under way still come to it: requests
+/// for one are not answered, so their side asks again in a second, when the listener is closed and it is refused.
+/// Else a connection may begin between the last look at what waits and the closing: it was taken by the system, so
+/// what is written to it counts as read, and the closing resets it. Harms who asks in that moment: it hears of the
+/// refusal a second later. Where the system knows no packet filters that gap stays.
+pub fn begin_none(listener: &TcpListener) -> io::Result<()> {
+    use socket2::{SockFilter, SockRef};
+    SockRef::from(listener).attach_filter(&[
+        SockFilter::new(LOAD, 0, 0, FLAGS_AT),
+        SockFilter::new(AND, 0, 0, SYN_AND_ACK),
+        SockFilter::new(IS, 0, 1, SYN),
+        SockFilter::new(VERDICT, 0, 0, 0),
+        SockFilter::new(VERDICT, 0, 0, u32::MAX),
+    ])
+}
+
 impl Gate {
     /// An open gate without listeners.
     pub fn new(alarm: Alarm) -> Self {
--- a/crates/lynxtally-node/src/accept/connection.rs
+++ b/crates/lynxtally-node/src/accept/connection.rs
@@ -1,6 +1,6 @@
 //! One connection from a sidecar: read eagerly, one task at a time.
 
-use super::{Entrance, Handle, Order, Stand, Taken};
+use super::{Entrance, Handle, Order, Stand, Taken, SETTLE, TURN};
 use crate::answer::{self, Answer};
 use crate::heard::Heard;
 use crate::http::{Asked, Message, Reader};
@@ -19,6 +19,8 @@
     pub number: u64,
     /// The task whose answer is awaited, and whether the sidecar wants no further one here.
     pub task: Option<(String, bool)>,
+    /// Whether anything was answered on it.
+    pub answered: bool,
 }
 
 impl Connection<'_> {
@@ -42,9 +44,20 @@
         }
         self.entrance.counters.connection_ends.add(end);
         debug!(connection = self.number, %end, "a connection ends");
-        if matches!(end, End::Finished | End::Idle | End::Closed | End::Garbled | End::Expired) {
-            self.stand(Stand::Leaving);
-            self.linger(&mut line);
+        match end {
+            End::Finished | End::Idle | End::Closed | End::Garbled | End::Expired => {
+                self.stand(Stand::Leaving);
+                self.linger(&mut line);
+            }
+            // It stays among those that were told to go, so nobody is told in its place meanwhile.
+            End::Crowded if self.answered => {
+                let handle = self.handle.clone();
+                self.entrance.alarm.after(SETTLE, move || {
+                    handle.push(Order::Close(End::Crowded));
+                });
+                self.linger(&mut line);
+            }
+            _ => {}
         }
         wire::lock(&self.entrance.open).remove(&self.number);
         for order in self.handle.close() {
@@ -55,7 +68,8 @@
     }
 
     /// Ends the writing side and reads on: a socket closed with unread bytes would reset the connection and
-    /// lose the last answer. Bounded in bytes here, and in time by the sweep.
+    /// lose the last answer. Bounded in bytes here, and in time by the sweep, or where others need the room by the
+    /// moment that first bytes are given.
     fn linger(&self, line: &mut Line) {
         if !line.shutdown() {
             return;
@@ -71,7 +85,7 @@
             match line.fill(&mut scratch, LINGER_CHUNK) {
                 Ok(Filled::End) | Err(_) => return,
                 Ok(Filled::All) if scratch.is_empty() => line.wait(),
-                Ok(_) => may::coroutine::yield_now(),
+                Ok(_) => self.entrance.alarm.sleep(TURN),
             }
             left = left.saturating_sub(scratch.len());
         }
@@ -99,14 +113,16 @@
                     Order::Close(end) => close = Some(end),
                 }
             }
-            if sends && last.is_none() {
+            // Nobody is read whose answers are not taken: else a client that only asks fills the memory.
+            let behind = !line.clear();
+            if sends && last.is_none() && !behind {
                 match line.fill(&mut reader.buffer, Reader::ROOM) {
                     Ok(found) => filled = found,
                     Err(end) => return end,
                 }
                 sends = filled != Filled::End;
             }
-            while self.task.is_none() && last.is_none() {
+            while self.task.is_none() && last.is_none() && !behind {
                 match reader.next_asked(&self.entrance.names, self.entrance.clock.micros() / 1000) {
                     Ok(Some(message)) => {
                         last = self.asked(message, line.out()).then_some(End::Finished);
@@ -125,12 +141,13 @@
             if let Err(end) = line.flush() {
                 return end;
             }
-            if self.task.is_none() && !sends && last.is_none() {
+            if self.task.is_none() && !sends && last.is_none() && !behind {
                 last = Some(if reader.buffer.is_empty() { End::Closed } else { End::Truncated });
             }
             // Told to close, it does so only where nothing is under way, once all that came is read.
             if let Some(end) = close.filter(|_| self.task.is_none() && !moved) {
-                if !line.clear() {
+                // Who does not take its answer in time loses it; who only is to be gone soon may still take it.
+                if !line.clear() && end != End::Finished {
                     return End::Reset;
                 }
                 if last.is_none() && (end != End::Idle || reader.buffer.is_empty()) {
@@ -160,9 +177,12 @@
                 // What rests needs no buffer.
                 reader.buffer = Vec::new();
             }
+            if behind && line.clear() {
+                continue;
+            }
             // What there was no room for is read now, or, while a task is open, after its answer.
             if filled == Filled::Full && reader.buffer.len() < Reader::ROOM {
-                may::coroutine::yield_now();
+                self.entrance.alarm.sleep(TURN);
             } else {
                 line.wait();
             }
@@ -176,6 +196,7 @@
             Asked::Health => {
                 self.entrance.counters.health_checks.add();
                 let last = message.last || standing.leaving();
+                self.answered = true;
                 answer::write_health(out, standing.healthy(), standing.free(), last);
                 last
             }
@@ -198,6 +219,7 @@
         let standing = &self.entrance.standing;
         let last = last || standing.leaving();
         answer::write(out, answer, standing.free(), last);
+        self.answered = true;
         last
     }
 }
--- a/crates/lynxtally-node/src/accept/listener.rs
+++ b/crates/lynxtally-node/src/accept/listener.rs
@@ -1,33 +1,22 @@
 //! The listener before the table: connections are taken eagerly until it is closed.
 
 use super::connection::Connection;
-use super::{Entrance, Handle, Room, Seat, Stand, PAUSE};
+use super::{Entrance, Handle, Room, Seat, Stand, PAUSE, TURN};
 use crate::heard::Heard;
 use lynxtally_wire::end::End;
+use lynxtally_wire::gate::begin_none;
 use lynxtally_wire::line::{self as wire, Line};
 use may::io::{CoIo, WaitIo};
 use std::io::ErrorKind;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Instant;
 use tracing::{debug, warn};
 
 const STACK_WORDS: usize = 0x2000;
-/// Connections that wait to be taken, at most.
-const BACKLOG: i32 = 1024;
 /// After so many connections taken in one go the others get their turn.
-const TURN: u32 = 16;
-
-/// Listens on an address that nobody else listens on.
-pub fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
-    use socket2::{Domain, Socket, Type};
-    let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&at.into())?;
-    socket.listen(BACKLOG)?;
-    Ok(socket.into())
-}
+const AT_ONCE: u32 = 16;
 
 impl Entrance {
     /// Takes connections until the listener is to be closed.
@@ -37,13 +26,14 @@
             Err(fault) => return warn!(%fault, "the listener can't be waited on"),
         };
         *wire::lock(&self.waker) = Some(listener.waker());
-        let mut taken = 0;
+        let (mut taken, mut settled) = (0, false);
         loop {
             // Looked at first: what waits by then is still taken.
             let closing = self.closing.load(Ordering::Acquire);
-            match self.make_room() {
+            match self.make_room(false) {
+                // Those that were told go as soon as they run, or after a moment of reading on.
                 Room::Soon if !closing => {
-                    may::coroutine::yield_now();
+                    self.alarm.sleep(PAUSE / 4);
                     continue;
                 }
                 Room::Later if !closing => {
@@ -56,23 +46,31 @@
                 Ok((stream, _)) => {
                     self.take(stream);
                     taken += 1;
-                    if taken % TURN == 0 {
-                        may::coroutine::yield_now();
+                    if taken % AT_ONCE == 0 {
+                        self.alarm.sleep(TURN);
                     }
                 }
                 Err(fault) if fault.kind() == ErrorKind::WouldBlock && !closing => {
                     listener.wait_io();
                 }
-                Err(fault) if fault.kind() == ErrorKind::WouldBlock => break,
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock && settled => break,
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock => {
+                    // What had begun before has come after this, and nothing begins any more.
+                    if let Err(fault) = begin_none(listener.inner()) {
+                        debug!(%fault, "connections may begin until the listener is closed");
+                    }
+                    settled = true;
+                    self.alarm.sleep(PAUSE);
+                }
+                // Also while closing: what waits was taken by the system, and only the program's end gives it up.
                 Err(fault) => {
                     if self.counters.accepts_failed.get() == 0 {
                         warn!(%fault, "a connection could not be taken; later ones are only counted");
                     }
                     self.counters.accepts_failed.add();
+                    // For want of descriptors most likely, though the table has room.
+                    self.make_room(true);
                     self.alarm.sleep(PAUSE);
-                    if closing {
-                        break;
-                    }
                 }
             }
         }
@@ -96,8 +94,10 @@
         let seat = Seat { handle: handle.clone(), stand: Stand::New, since: Instant::now(), told: false };
         wire::lock(&self.open).insert(number, seat);
         let entrance = self.clone();
-        let work =
-            move || Connection { entrance: &entrance, handle: &handle, number, task: None }.carry(line);
+        let work = move || {
+            Connection { entrance: &entrance, handle: &handle, number, task: None, answered: false }
+                .carry(line)
+        };
         let entrance = self.clone();
         let failed = move |text: String| {
             warn!(text, "a connection's coroutine failed as it ended");
--- a/crates/lynxtally-node/src/accept/mod.rs
+++ b/crates/lynxtally-node/src/accept/mod.rs
@@ -4,7 +4,7 @@
 mod listener;
 
 pub use crate::heard::{Handle, Order, Taken};
-pub use listener::listen;
+pub use lynxtally_wire::gate::listen;
 
 use crate::answer::{Answer, Standing};
 use crate::config::Bounds;
@@ -27,6 +27,11 @@
 /// What has stood for less is not closed to make room: its first bytes may be on their way.
 const SETTLE: Duration = PAUSE;
 
+/// Who could go on without waiting leaves the others a turn for so long. A coroutine that only yields stands first in
+/// its worker's line again, and the worker never looks at anything else: one client that never stopped sending kept
+/// the whole node waiting.
+const TURN: Duration = Duration::from_millis(1);
+
 /// How a connection stands. To make room, the ones named first go first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Stand {
@@ -140,6 +145,12 @@
         });
     }
 
+    /// Has all connections closed that have no task, also such as stand in the middle of a message. The last thing
+    /// before the end: what is half written then would be reset by it, so its sidecar is told, and sends once more.
+    pub fn close_all(&self) {
+        self.close_where(End::Finished, |seat| !matches!(seat.stand, Stand::Leaving | Stand::Busy));
+    }
+
     fn close_where(&self, end: End, goes: impl Fn(&Seat) -> bool) {
         for seat in wire::lock(&self.open).values().filter(|seat| goes(seat)) {
             seat.handle.push(Order::Close(end));
@@ -149,11 +160,11 @@
     /// Makes room where the table is full: what is leaving goes first, then what has never carried a whole
     /// message, then what rests, of each the longest; a connection with a task never. So neither silent
     /// clients nor such as keep their connections shut the sidecars out. Harms a sidecar whose connection
-    /// rests and is closed as it sends: it sends once more.
-    fn make_room(&self) -> Room {
+    /// rests and is closed as it sends: it sends once more. The same where descriptors run short before.
+    fn make_room(&self, short: bool) -> Room {
         let mut open = wire::lock(&self.open);
         let most = self.bounds.connections;
-        if open.len() < most {
+        if open.len() < most && !short {
             return Room::Now;
         }
         // Those that were told need a moment to go; some places are taken before that.
--- a/crates/lynxtally-node/src/decide.rs
+++ b/crates/lynxtally-node/src/decide.rs
@@ -31,6 +31,8 @@
     Close,
     /// While leaving: nothing crosses a closing any more.
     Crossed,
+    /// While leaving: close what has no task, whole message or not.
+    Last,
     /// While leaving: the last point to end at.
     Exit,
 }
@@ -53,6 +55,8 @@
 const SWEEPS: f64 = 0.1;
 /// While leaving, the listener closes after this part of the time, by when the lists have followed.
 const CLOSE_AFTER: f64 = 0.8;
+/// This part of the time before the kill the program ends where no module has set its period yet.
+const END_AHEAD: f64 = 0.04;
 /// A task that crosses the closing of its connection within this is sent once more elsewhere.
 const CROSSING: Span = Span::from_millis(60);
 
@@ -95,7 +99,8 @@
     }
 
     fn call(&mut self, _: TaskId, work: &mut Work, number: u64, time_out: Span) -> bool {
-        let call = Call { id: work.id.clone(), number, time_out, body: work.call_body.clone() };
+        let until = std::time::Instant::now() + Duration::from_micros(time_out.micros());
+        let call = Call { id: work.id.clone(), number, until, body: work.call_body.clone() };
         work.call = self.ledger.call(call);
         if work.call.is_none() {
             error!(id = work.id, "no coroutine for a call");
@@ -326,8 +331,11 @@
                     info!(stop_ms = self.config.stop.as_millis() as u64, "notice to leave");
                     self.callers.say_health(false);
                     self.host.set(now + stop * CLOSE_AFTER, Due::Close);
-                    // The module answers all by two periods before the kill.
-                    self.host.set(now + (stop - self.host.period()), Due::Exit);
+                    // The module answers all by two periods before the kill. Before the kernel is up there is none.
+                    let period = self.host.period();
+                    let exit = now + (stop - if period > Span::ZERO { period } else { stop * END_AHEAD });
+                    self.host.set(exit, Due::Exit);
+                    self.host.set(exit - CROSSING, Due::Last);
                 }
             }
             Heard::Due => {}
@@ -548,7 +556,19 @@
                 self.callers.standing.leave();
                 self.callers.entrance.close();
             }
-            Due::Exit => self.over = true,
+            Due::Last => {
+                self.callers.standing.leave();
+                self.callers.entrance.close_all();
+            }
+            Due::Exit => {
+                // The kernel may have come up since, and the module answers all by its own point.
+                let last = self.host.kill().map_or(now, |kill| kill - self.host.period());
+                if now < last && self.host.tally().open > 0 {
+                    self.host.set(last, Due::Exit);
+                } else {
+                    self.over = true;
+                }
+            }
         }
     }
 
--- a/crates/lynxtally-node/src/ledger.rs
+++ b/crates/lynxtally-node/src/ledger.rs
@@ -5,7 +5,6 @@
 pub use crate::heard::Ended;
 use crate::heard::Heard;
 use crate::http::{self, Message};
-use lynxtally::Span;
 use lynxtally_wire::end::End;
 use lynxtally_wire::line::{self as wire, Filled, Line, Outbox};
 use may::sync::mpsc::Sender;
@@ -29,8 +28,8 @@
     pub id: String,
     /// Which of the node's calls this is.
     pub number: u64,
-    /// How long it may take.
-    pub time_out: Span,
+    /// Until when it may take. It is not begun after that, however long its way to the connection took.
+    pub until: Instant,
     /// What the kernel gave for it.
     pub body: Vec<u8>,
 }
@@ -186,7 +185,7 @@
         kept: Option<Line>,
         handle: &Handle,
     ) -> (Ended, Option<Line>) {
-        let until = Instant::now() + Duration::from_micros(call.time_out.micros());
+        let until = call.until;
         let without = |end, written| (Ended::Without { end: self.ended(end), written }, None);
         let mut line = match kept {
             Some(line) => line,
@@ -200,7 +199,6 @@
         };
         handle.attach(&line);
         let mut reader = http::Reader::default();
-        http::write_call(line.out(), &call.id, (call.time_out.micros() / 1000).max(1), &call.body);
         let mut written = false;
         loop {
             while let Some(order) = handle.take() {
@@ -211,6 +209,15 @@
                     );
                 }
             }
+            if line.clear() && !written {
+                // Looked at here and not sooner: a process that was stopped on the way wakes with a call whose time
+                // may be over, and whose part of what all share another may have by now.
+                let left = until.saturating_duration_since(Instant::now());
+                if left.is_zero() {
+                    return without(End::Expired, false);
+                }
+                http::write_call(line.out(), &call.id, (left.as_millis() as u64).max(1), &call.body);
+            }
             let flushed = line.flush();
             written |= line.clear() || line.written() > 0;
             if let Err(end) = flushed {
--- a/crates/lynxtally-node/src/node.rs
+++ b/crates/lynxtally-node/src/node.rs
@@ -15,6 +15,7 @@
 use lynxtally_wire::line::{guarded, spawn};
 use may::sync::mpsc::{channel, Receiver, Sender};
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
+use signal_hook::iterator::Signals;
 use std::io::Write;
 use std::sync::mpsc;
 use std::sync::Arc;
@@ -44,6 +45,9 @@
     config: Config,
     read: impl Fn() -> Result<Config, String> + Send + 'static,
 ) -> Result<(), String> {
+    // Before anybody can connect: a notice that comes between the two would end the program at once.
+    let signals = Signals::new([SIGHUP, SIGTERM, SIGUSR1])
+        .map_err(|fault| format!("signals can't be listened to: {fault}"))?;
     let listener = accept::listen(config.listen)
         .map_err(|fault| format!("`listen`: {} can't be listened on: {fault}", config.listen))?;
     let names = Names::of(&config.declared);
@@ -63,8 +67,7 @@
     let orders = Arc::new(Orders::new(config.kernel));
     let (states, reports) = channel();
 
-    listen_to_signals(owner.clone(), counters.clone(), read)
-        .map_err(|fault| format!("signals can't be listened to: {fault}"))?;
+    heed_signals(signals, owner.clone(), counters.clone(), read);
     let (ended, end) = mpsc::channel();
     let part = |name: &'static str, ended: mpsc::Sender<bool>| {
         move |text: String| {
@@ -149,12 +152,12 @@
 }
 
 /// SIGTERM is the notice to leave, SIGHUP asks for the configuration to be read anew, SIGUSR1 for the counters.
-fn listen_to_signals(
+fn heed_signals(
+    mut signals: Signals,
     owner: Sender<Heard>,
     counters: Arc<Counters>,
     read: impl Fn() -> Result<Config, String> + Send + 'static,
-) -> std::io::Result<()> {
-    let mut signals = signal_hook::iterator::Signals::new([SIGHUP, SIGTERM, SIGUSR1])?;
+) {
     thread::spawn(move || {
         for signal in signals.forever() {
             let heard = match signal {
@@ -176,5 +179,4 @@
             }
         }
     });
-    Ok(())
 }
--- a/crates/lynxtally-node/tests/stories.rs
+++ b/crates/lynxtally-node/tests/stories.rs
@@ -4,7 +4,7 @@
 #[path = "../../../tests/host/mod.rs"]
 mod host;
 use host::world::{id, staged, task, until, Caller, Mood, World};
-use lynxtally::{CallOutcome, Span};
+use lynxtally::CallOutcome;
 use lynxtally_node::accept::{self, Entrance, Taken};
 use lynxtally_node::answer::{Answer, Standing};
 use lynxtally_node::config::Bounds;
@@ -303,7 +303,8 @@
     let (owner, heard) = channel();
     // Nobody listens on this address of loopback.
     let ledger = Arc::new(Ledger::new(Some(([127, 9, 9, 9], 9).into()), owner, Arc::default()));
-    let call = Call { id: id(1), number: 7, time_out: Span::from_millis(20_000), body: vec![] };
+    let until = Instant::now() + Duration::from_secs(20);
+    let call = Call { id: id(1), number: 7, until, body: vec![] };
     assert!(ledger.call(call).is_some());
     let Ok(Heard::Called { number: 7, ended, .. }) = heard.recv() else { panic!("something else is heard") };
     assert_eq!(ended, Ended::Without { end: End::Refused, written: false });
