Stories of idle clients that fill the table, and of a control plane that is down at the start

Forced over sockets: with 64 descriptors and 100 idle clients a new kernel link, four calls, health checks and reports each find one, and the places are free again once they go; reports that nobody takes at the start are heard once the control plane is back.

--- a/crates/lynxtally-node/tests/crossings.rs
+++ b/crates/lynxtally-node/tests/crossings.rs
@@ -295,3 +295,59 @@
     let asked = written / CHECK.len();
     assert_eq!((0..asked).filter(|_| asks.answer().0 == 200).count(), asked);
 }
+
+#[test]
+fn idle_clients_that_fill_the_table_leave_kernel_ledger_and_reports_their_descriptors() {
+    // The system gives no more than the configuration says.
+    let world = World::limited(NODE, 64);
+    let rests = |n: usize| {
+        let mut caller = world.caller();
+        if n.is_multiple_of(2) {
+            caller.send(CHECK);
+        }
+        caller
+    };
+    let mut idle: Vec<Caller> = (0..100).map(rests).collect();
+    until("the table is full", || world.descriptors() > 48);
+    // A new link, a new call and a new report each need one.
+    world.kernel.drop_link();
+    until("there is a new link", || world.kernel.heard("OPEN") == 2);
+    let mut callers: Vec<Caller> = (1..5).map(|_| world.caller()).collect();
+    for (n, caller) in (1..).zip(&mut callers) {
+        caller.send(&task(n, "call:body"));
+    }
+    for caller in &mut callers {
+        assert_eq!(caller.answer(), (200, "body".into()));
+    }
+    while world.control.set_nonblocking(true).is_ok() && world.control.recv_from(&mut [0; 64]).is_ok() {}
+    world.control.set_nonblocking(false).expect("a flag");
+    assert!(world.control.recv_from(&mut [0; 64]).is_ok(), "it still reports");
+    let mut check = world.caller();
+    check.send(CHECK);
+    assert_eq!(check.answer().0, 200);
+    // They go, and nobody has to start anything anew.
+    idle.clear();
+    until("their places are free", || world.descriptors() < 30);
+    callers[0].send(&task(9, "call:body"));
+    assert_eq!(callers[0].answer(), (200, "body".into()));
+}
+
+#[test]
+fn a_control_plane_that_is_down_at_the_start_hears_of_the_node_once_it_is_back() {
+    let control = std::net::UdpSocket::bind(loopback()).expect("a port");
+    let at = control.local_addr().expect("an address");
+    drop(control);
+    let world = World::with(NODE, 1024, |text| {
+        let mut told: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+        told["control"] = at.to_string().into();
+        told.to_string()
+    });
+    let mut caller = world.caller();
+    caller.send(&task(1, "ok:well"));
+    assert_eq!(caller.answer(), (200, "well".into()), "nobody has to hear of it for that");
+    let control = std::net::UdpSocket::bind(at).expect("still free");
+    control.set_read_timeout(Some(Duration::from_secs(20))).expect("a time-out");
+    let mut text = [0; 64];
+    let (length, _) = control.recv_from(&mut text).expect("a report");
+    assert_eq!(&text[..length], b"lease n1 Ready");
+}
