The sums' nodes are killed only once calls are in hand

Read once more: the check before the restarts held as soon as any call had been made, so it could not fail where none was in hand at the kill, which is what the story is about. It now waits for one.

--- a/crates/lynxtally-node/tests/sums.rs
+++ b/crates/lynxtally-node/tests/sums.rs
@@ -99,7 +99,7 @@
     thread::sleep(OVER);
     ledger.takes(Duration::from_millis(60));
     thread::sleep(OVER / 2);
-    assert!(ledger.in_hand() > 0 || ledger.calls() > 0, "calls are made");
+    until("calls are in hand as they are killed", || ledger.in_hand() > 0);
     all.iter_mut().take(restarted).for_each(World::restart);
     thread::sleep(OVER);
     assert!(load.finished.load(Ordering::Relaxed) > nodes as u64, "the nodes serve");
--- a/tests/host/world.rs
+++ b/tests/host/world.rs
@@ -465,11 +465,6 @@
         std::fs::read_dir(format!("/proc/{node}/fd")).map_or(0, Iterator::count)
     }
 
-    /// Whether the node's process is there.
-    pub fn runs(&mut self) -> bool {
-        self.node.as_mut().is_some_and(|node| matches!(node.try_wait(), Ok(None)))
-    }
-
     /// A new connection to the node.
     pub fn caller(&self) -> Caller {
         Caller::to(self.listen)
