--- a/crates/lynxtally-node/src/decide.rs
+++ b/crates/lynxtally-node/src/decide.rs
@@ -390,7 +390,15 @@
             kb: sent.kb,
             place: sent.place,
         };
-        debug!(id = sent.id, stage = sent.stage, unread_ms = entry.unread.micros() / 1000, "task read");
+        let unread_ms = entry.unread.micros() / 1000;
+        debug!(
+            id = sent.id,
+            stage = sent.stage,
+            caller = sent.caller,
+            further = sent.further,
+            unread_ms,
+            "task read"
+        );
         let work = Work {
             id: sent.id.clone(),
             stage: sent.stage,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -101,6 +101,33 @@
     assert!(first[0] > 0 && first[1] > 0, "a tenth more utility goes first each time: {first:?}");
 }
 
+#[test]
+fn a_stage_that_may_take_longer_demands_the_cores_no_less() {
+    let mut set = settings();
+    (set.stages[1].utility, set.stages[1].due, set.stages[1].limit) =
+        (1.0, Span::from_millis(8000), Span::from_millis(9000));
+    let mut host = Host::new(set);
+    // A run of the first takes 100 ms, one of the second 250 ms.
+    for round in 0..60 {
+        let (quick, long) = (host.plain(round * 1000, 0), host.plain(round * 1000, 1));
+        host.end(round * 1000 + 100, quick);
+        host.end(round * 1000 + 250, long);
+    }
+    let mut running = Vec::new();
+    loop {
+        let task = host.plain(60_000, 1);
+        if !host.ran(task) {
+            break; // It is held, and would be the next.
+        }
+        running.push(task);
+    }
+    let quick = host.plain(60_010, 0);
+    let at_once = host.ran(quick);
+    host.end(60_100, running[0]);
+    let first = host.did.iter().find(|action| matches!(action, Action::Run(_)));
+    assert!(at_once || first == Some(&Action::Run(quick)), "as much utility for two fifths of the core time");
+}
+
 #[test]
 fn late_work_keeps_only_its_late_part() {
     let mut set = settings();
