Names server: who takes a transfer as fast as it comes leaves the others a turn

Ruled out: the owner (it answers from another thread, and datagrams were answered meanwhile) and the bound on open messages (64, none reached). At fault: connection.rs, yield_now where more can be written: a coroutine that yields stands first in its worker's line again, so the worker never looks what else came. It now passes the turnstile that the stream front uses.

--- a/crates/fronts/dns/src/connection.rs
+++ b/crates/fronts/dns/src/connection.rs
@@ -8,6 +8,7 @@
 use lynxtally_wire::gate::Gate;
 use lynxtally_wire::line::{self, Filled, Line, Outbox};
 use lynxtally_wire::seats::Seats;
+use lynxtally_wire::turnstile::Turnstile;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
@@ -76,13 +77,19 @@
 pub struct Connections {
     seats: Seats<Tcp>,
     gate: Gate,
+    turnstile: Turnstile,
     news: Box<dyn Fn(News) + Send + Sync>,
 }
 
 impl Connections {
     /// So many at most; `news` hears of all that comes.
-    pub fn new(most: usize, alarm: Alarm, news: impl Fn(News) + Send + Sync + 'static) -> Self {
-        Self { seats: Seats::new(most), gate: Gate::new(alarm), news: Box::new(news) }
+    pub fn new(
+        most: usize,
+        alarm: Alarm,
+        turnstile: Turnstile,
+        news: impl Fn(News) + Send + Sync + 'static,
+    ) -> Self {
+        Self { seats: Seats::new(most), gate: Gate::new(alarm), turnstile, news: Box::new(news) }
     }
 
     /// How many there are.
@@ -213,7 +220,8 @@
             let more = came
                 || (sends && room && filled == Filled::Full && buffer.len() < 2 + crate::codec::MESSAGE_MOST);
             if more || (!self.streams.is_empty() && line.clear()) {
-                may::coroutine::yield_now();
+                // A coroutine that only yields is the next again, for as long as its transfer lasts.
+                line.leave_turn(&self.all.turnstile);
             } else {
                 line.wait();
             }
--- a/crates/fronts/dns/src/server.rs
+++ b/crates/fronts/dns/src/server.rs
@@ -25,6 +25,7 @@
 use lynxtally_wire::alarm::Alarm;
 use lynxtally_wire::clock::Clock;
 use lynxtally_wire::line::{guarded, lock, spawn};
+use lynxtally_wire::turnstile::Turnstile;
 use nix::poll::{ppoll, PollFd, PollFlags};
 use nix::sys::eventfd::{EfdFlags, EventFd};
 use nix::sys::time::TimeSpec;
@@ -271,9 +272,10 @@
     let own = ear.clone();
     control::listen(&state, move |verb, answer| own.say(Heard::Control(verb, answer)))
         .map_err(|fault| format!("{}: {fault}", control::path(&state).display()))?;
+    let turnstile = Turnstile::start().map_err(|fault| format!("a coroutine can't be started: {fault}"))?;
     let own = ear.clone();
-    let connections =
-        Arc::new(Connections::new(settings.limits.connections, alarm, move |n| own.say(Heard::Tcp(n))));
+    let news = move |news| own.say(Heard::Tcp(news));
+    let connections = Arc::new(Connections::new(settings.limits.connections, alarm, turnstile, news));
     for listener in listeners {
         let all = connections.clone();
         spawn(
--- a/crates/fronts/dns/tests/stories.rs
+++ b/crates/fronts/dns/tests/stories.rs
@@ -358,6 +358,49 @@
     assert_eq!(soas, 0, "the SOA that ends it never came");
 }
 
+#[test]
+fn who_takes_a_transfer_as_fast_as_it_comes_does_not_keep_the_others_waiting() {
+    let folder = Folder::new();
+    let rest: String = (0..100_000).map(|n| format!("h{n} TXT \"{}\"\n", "x".repeat(100))).collect();
+    folder.zone(1, &rest);
+    let world = World::start(primary(&folder));
+    let (mut fast, mut other) =
+        (world.client().connect().expect("one"), world.client().connect().expect("two"));
+    let mut ask = |id: u16| {
+        other.send(&query(id, &name("@"), Kind::SOA).write(None)).expect("sent");
+        other.receive().expect("an answer");
+    };
+    ask(1);
+    let (begun, over) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+    let told = (begun.clone(), over.clone());
+    let taker = std::thread::spawn(move || {
+        let mut signer = Signer::asking(key(), unix_now());
+        fast.send(&query(9, &name("@"), Kind::AXFR).write(Some(&mut signer))).expect("sent");
+        let (mut messages, mut soas) = (0_u32, 0);
+        while soas < 2 {
+            let octets = fast.receive().expect("a message");
+            told.0.store(true, Ordering::SeqCst);
+            let answer = lynxtally_dns::codec::Answered::read(&octets).expect("it can be read");
+            soas += answer.sections[0].iter().filter(|record| record.kind == Kind::SOA).count();
+            messages += 1;
+        }
+        told.1.store(true, Ordering::SeqCst);
+        messages
+    });
+    until("it begins", || begun.load(Ordering::SeqCst));
+    let mut answers = 0_u16;
+    while !over.load(Ordering::SeqCst) {
+        ask(2 + answers);
+        answers += 1;
+    }
+    let messages = taker.join().expect("all of it came");
+    assert!(
+        u32::from(answers) > messages / 80,
+        "{answers} answers while {messages} messages of a transfer went out"
+    );
+    world.leave();
+}
+
 #[test]
 fn clocks_that_differ_wrong_keys_and_changed_octets_are_refused_by_name() {
     let keys = Keys(vec![key()]);
--- a/crates/fronts/wire/src/line.rs
+++ b/crates/fronts/wire/src/line.rs
@@ -3,6 +3,7 @@
 
 use crate::end::End;
 use crate::socket::{Got, Socket};
+use crate::turnstile::Turnstile;
 use may::coroutine::{Builder, JoinHandle};
 use may::io::WaitIoWaker;
 use std::collections::VecDeque;
@@ -193,6 +194,11 @@
         self.socket.wait();
     }
 
+    /// Leaves the others a turn where more could be done at once.
+    pub fn leave_turn(&self, turnstile: &Turnstile) {
+        turnstile.pass(&self.socket);
+    }
+
     /// Whether the other side is known to be gone altogether.
     pub fn broken(&self) -> bool {
         self.socket.broken()
