Settings that mean nothing are one error with their key, not a default in silence

Each is now refused with its key. What the page lets be absent keeps its default (docs/configuration.md). Unknown keys are ignored as before. Rows in the codec's story fail without the change.

--- a/crates/lynxtally-node/tests/codecs.rs
+++ b/crates/lynxtally-node/tests/codecs.rs
@@ -245,6 +245,20 @@
         ("\"promise-ms\":10000", "\"promise-ms\":0", "`settings.lanes[0].promise-ms` is 0"),
         ("\"name\":\"a\"", "\"name\":\"a b\"", "`settings.lanes[0].name` is \"a b\"; one word"),
         ("\"importance\":1", "\"importance\":[]", "`settings.lanes[0].importance` cannot be read"),
+        (
+            "\"say\":\"credit\"",
+            "\"say\":\"kredit\"",
+            "`settings.specifics.say` cannot be read: unknown variant",
+        ),
+        ("\"pause\"", "\"stop\"", "`settings.specifics.stop-mode` cannot be read: unknown variant"),
+        ("\"cores\":4", "\"below\":\"ledger\",\"cores\":4", "`settings.specifics.below` cannot be read"),
+        ("\"cores\":4", "\"below\":\"shared\",\"cores\":4", "`settings.specifics.calls-out` is missing or 0"),
+        ("\"pure\"", "\"token\"", "`settings.lanes[0].dedup-window-ms` is missing or 0; a time above 0"),
+        (
+            "[true,true]",
+            "[true]",
+            "`settings.specifics.class-calls` has 1 entries; one for each of 2 `lanes`",
+        ),
     ] {
         let fault = config::read(&good.replacen(from, to, 1), none).expect_err(said).to_string();
         assert!(fault.contains(said), "{fault}");
--- a/crates/lynxtally-settings/src/lib.rs
+++ b/crates/lynxtally-settings/src/lib.rs
@@ -121,7 +121,43 @@
     servers: Option<u32>,
     #[serde(default)]
     tier: u32,
-    worth_by: Option<String>,
+    worth_by: Option<WorthBy>,
+}
+
+/// What worth is counted by.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WorthBy {
+    Request,
+    Work,
+}
+
+/// What calls go to. `silent`, as in the enums below: nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum CallsTo {
+    Silent,
+    Shared,
+    Tier,
+}
+
+/// How callers take the free value.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Says {
+    Silent,
+    Level,
+    Credit,
+    Weight,
+}
+
+/// What becomes of a run that is stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum StopMode {
+    Silent,
+    Drop,
+    Pause,
 }
 
 fn one() -> f64 {
@@ -178,7 +214,7 @@
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct Specifics {
-    below: Option<String>,
+    below: Option<CallsTo>,
     blowup: f64,
     #[serde(default)]
     calls_out: f64,
@@ -202,10 +238,10 @@
     #[serde(default)]
     linger_ms: Millis,
     ram_kb: f64,
-    say: Option<String>,
+    say: Option<Says>,
     #[serde(default)]
     share_for_ms: Millis,
-    stop_mode: Option<String>,
+    stop_mode: Option<StopMode>,
     upstreams: Option<u32>,
 }
 
@@ -235,6 +271,31 @@
                     return Err(Fault::new(format!("lanes[{at}].{key}"), what));
                 }
             }
+            // Without it each repeat would look new, and its effect would come twice.
+            if matches!(lane.idempotency, Idempotency::Token) && lane.dedup_window_ms.span() == Span::ZERO {
+                let what = "is missing or 0; a time above 0 is expected where `idempotency` is \"token\"";
+                return Err(Fault::new(format!("lanes[{at}].dedup-window-ms"), what));
+            }
+        }
+        if own.below == Some(CallsTo::Shared) {
+            let over = own.calls_over_ms.0;
+            for (path, value) in [("specifics.calls-out", own.calls_out), ("specifics.calls-over-ms", over)] {
+                if value <= 0.0 {
+                    let what =
+                        "is missing or 0; a number above 0 is expected where `specifics.below` is \"shared\"";
+                    return Err(Fault::new(path, what));
+                }
+            }
+        }
+        for (path, given) in [
+            ("specifics.class-calls", own.class_calls.len()),
+            ("specifics.class-skip-worth", own.class_skip_worth.len()),
+        ] {
+            if given != 0 && given != self.lanes.len() {
+                let what =
+                    format!("has {given} entries; one for each of {} `lanes` is expected", self.lanes.len());
+                return Err(Fault::new(path, what));
+            }
         }
         Ok(())
     }
@@ -269,25 +330,25 @@
             stages: lanes.iter().enumerate().map(stage).collect(),
             quotas: orgs.iter().map(|org| org.quota_per_s).collect(),
             over_share: over_share_worth,
-            by_work: worth_by.as_deref() == Some("work"),
+            by_work: worth_by == Some(WorthBy::Work),
             backends: servers.unwrap_or(1),
             callers: own.upstreams.unwrap_or(1),
             depth: tier,
-            below: match own.below.as_deref() {
-                Some("shared") => Below::Shared {
+            below: match own.below {
+                Some(CallsTo::Shared) => Below::Shared {
                     calls: own.calls_out,
                     over: own.calls_over_ms.span(),
                     linger: own.linger_ms.span(),
                 },
-                Some("tier") => Below::Tier,
-                _ => Below::Nothing,
+                Some(CallsTo::Tier) => Below::Tier,
+                Some(CallsTo::Silent) | None => Below::Nothing,
             },
-            stoppable: matches!(own.stop_mode.as_deref(), Some("drop" | "pause")),
-            free_value: match own.say.as_deref() {
-                Some("level") => FreeValue::Level,
-                Some("credit") => FreeValue::Credit,
-                Some("weight") => FreeValue::Weight,
-                _ => FreeValue::Silent,
+            stoppable: matches!(own.stop_mode, Some(StopMode::Drop | StopMode::Pause)),
+            free_value: match own.say {
+                Some(Says::Level) => FreeValue::Level,
+                Some(Says::Credit) => FreeValue::Credit,
+                Some(Says::Weight) => FreeValue::Weight,
+                Some(Says::Silent) | None => FreeValue::Silent,
             },
             heeded: own.heeded_ms.span(),
             idle_after: own.idle_ms.span(),
@@ -299,7 +360,7 @@
             stages: lanes.into_iter().map(|lane| lane.name).collect(),
             customers: orgs.into_iter().map(|org| org.name).collect(),
             gauges: own.gauges,
-            pauses: own.stop_mode.as_deref() == Some("pause"),
+            pauses: own.stop_mode == Some(StopMode::Pause),
         }
     }
 }
