What the kernel surely read is not said again: a reply could reach its run's next call

Seen, by reading: each command is kept until a notice shows its effect, a reply so until the run's end or next call, that is for as long as the run computes; when the link breaks meanwhile it is said again on the next one. Ruled out as a mend: waiting for missed notices (that is done already; the call comes after them), and naming the call (the protocol names the run). At fault: decide.rs, Notice::Synced, which said all that was unconfirmed again.

The kernel reads in order. Gauges are asked for each period under a number now; once those asked for after a command were told, it was read and is not said again. What is left is the last instant before the break, under one period instead of a run's length. Two stories: one fails where all is said again, the other where nothing is (both checked). The stand-in kernel has runs that go on after a reply.

--- a/crates/core/host/src/lib.rs
+++ b/crates/core/host/src/lib.rs
@@ -298,8 +298,8 @@
     }
 
     /// All of that, in the order of the indices.
-    pub fn works(&self) -> impl Iterator<Item = &W> {
-        self.open.iter().flatten().map(|open| &open.work)
+    pub fn works_mut(&mut self) -> impl Iterator<Item = &mut W> {
+        self.open.iter_mut().flatten().map(|open| &mut open.work)
     }
 
     /// The tasks whose answers are awaited where `is_own` knows.
--- a/crates/lynxtally-node/src/decide.rs
+++ b/crates/lynxtally-node/src/decide.rs
@@ -43,8 +43,9 @@
     stage: usize,
     body: Vec<u8>,
     paused: bool,
-    /// Commands whose effect is not known yet. A new link to the kernel gets them again.
-    unconfirmed: Vec<Command>,
+    /// Commands whose effect is not known yet, and how often gauges had been asked for before each. A new link to the
+    /// kernel gets those again that may not have been read.
+    unconfirmed: Vec<(u64, Command)>,
     /// What the run's call has to say.
     call_body: Vec<u8>,
     /// The connection that carries the call under way.
@@ -66,6 +67,9 @@
     ledger: Arc<Ledger>,
     /// Whether the kernel hears commands now.
     linked: bool,
+    /// How often gauges were asked for, and under which number they were told last.
+    asked: u64,
+    told: u64,
     stages: Vec<String>,
     counters: Arc<Counters>,
 }
@@ -73,7 +77,7 @@
 impl Machine {
     /// Tells the kernel something of a task, now or when there is a link again.
     fn command(&self, work: &mut Work, command: Command) {
-        work.unconfirmed.push(command.clone());
+        work.unconfirmed.push((self.asked, command.clone()));
         if self.linked {
             self.kernel.say(command);
         }
@@ -122,7 +126,8 @@
 
     fn ask(&mut self) {
         if self.linked {
-            self.kernel.say(Command::Gauges);
+            self.asked += 1;
+            self.kernel.say(Command::Gauges(self.asked));
         }
     }
 
@@ -239,7 +244,15 @@
             over: false,
             alarm,
             owner,
-            machine: Machine { kernel, ledger, linked: false, stages, counters: counters.clone() },
+            machine: Machine {
+                kernel,
+                ledger,
+                linked: false,
+                asked: 0,
+                told: 0,
+                stages,
+                counters: counters.clone(),
+            },
             callers: Callers { entrance, standing, reporter, counters: counters.clone() },
             counters,
             shares,
@@ -455,11 +468,18 @@
                 // again.
                 self.machine.linked = true;
                 self.machine.kernel.begin(link);
-                for command in self.host.works().flat_map(|work| &work.unconfirmed) {
-                    self.machine.kernel.say(command.clone());
+                // A reply said twice could reach the run's next call: not where the gauges showed that it was read. Should
+                // catch every command in flight as a link breaks; harms where one that was read is not carried out.
+                let Machine { asked, told, .. } = self.machine;
+                for (before, command) in self.host.works_mut().flat_map(|work| &mut work.unconfirmed) {
+                    if *before >= told {
+                        *before = asked;
+                        self.machine.kernel.say(command.clone());
+                    }
                 }
             }
-            Notice::Gauges(values) => {
+            Notice::Gauges { number, values } => {
+                self.machine.told = self.machine.told.max(number.min(self.machine.asked));
                 let names = &self.config.declared.gauges;
                 let named = |name| Some(*values.get(names.iter().position(|known| known == name)?)?);
                 let gauges = Gauges { cores_busy: named("cpu_busy"), connections: named("sockets") };
@@ -468,7 +488,7 @@
             Notice::AtCall { id, body } => {
                 let Some((task, work)) = self.find(&id) else { return self.unknown(&id) };
                 // A stop may have crossed this notice: only a run's end shows its effect.
-                work.unconfirmed.retain(|command| matches!(command, Command::Stop(_)));
+                work.unconfirmed.retain(|(_, command)| matches!(command, Command::Stop(_)));
                 work.call_body = body;
                 debug!(id, "at a call");
                 self.host.at_call(now, task);
--- a/crates/lynxtally-node/src/heard.rs
+++ b/crates/lynxtally-node/src/heard.rs
@@ -115,7 +115,12 @@
         body: Vec<u8>,
     },
     /// The gauges, in the order of the settings.
-    Gauges(Vec<f64>),
+    Gauges {
+        /// Under which number they were asked for.
+        number: u64,
+        /// In the order of the settings.
+        values: Vec<f64>,
+    },
     /// All that happened before the link with this number was made has been told.
     Synced(u64),
     /// A command was not carried out.
--- a/crates/lynxtally-node/src/kernel.rs
+++ b/crates/lynxtally-node/src/kernel.rs
@@ -20,8 +20,8 @@
 /// How long one attempt to connect may take, and the pause after one that failed.
 const CONNECT: Duration = Duration::from_secs(1);
 const PAUSE: Duration = Duration::from_millis(20);
-/// The tag of gauges for the module.
-const GAUGES: &str = "gauges";
+/// What the tag of gauges for the module begins with; their number follows.
+const GAUGES: &str = "gauges-";
 /// What the tag begins with whose gauges close what a new link is told of the time without one; the link's
 /// number follows.
 const SYNC: &str = "sync-";
@@ -51,8 +51,9 @@
         /// The reply, unchanged.
         body: Vec<u8>,
     },
-    /// Tell the gauges.
-    Gauges,
+    /// Tell the gauges, under a number of our own: the kernel reads commands in order, so what was written before this
+    /// was read by the time they are told.
+    Gauges(u64),
     /// Say when all that came before this was told; the link's number.
     Sync(u64),
 }
@@ -76,7 +77,7 @@
             Self::Stop(id) => part(format_args!("PREEMPT {id}"), None),
             Self::Resume(id) => part(format_args!("RESCHED {id}"), None),
             Self::Reply { id, body } => part(format_args!("IODONE {id} {}", body.len()), Some(body)),
-            Self::Gauges => part(format_args!("SYSINFO {GAUGES}"), None),
+            Self::Gauges(number) => part(format_args!("SYSINFO {GAUGES}{number}"), None),
             Self::Sync(link) => part(format_args!("SYSINFO {SYNC}{link}"), None),
         }
     }
@@ -195,7 +196,7 @@
                 Some(link) => (None, Notice::Synced(number(Some(link))?)),
                 None => {
                     let values = values.iter().map(|value| figure(value)).collect::<Result<_, _>>()?;
-                    (None, Notice::Gauges(values))
+                    (None, Notice::Gauges { number: number(tag.strip_prefix(GAUGES))?, values })
                 }
             },
             ["EINVAL", command, ref id @ ..] => {
--- a/crates/lynxtally-node/tests/codecs.rs
+++ b/crates/lynxtally-node/tests/codecs.rs
@@ -150,13 +150,13 @@
 #[test]
 fn notices_split_at_any_point_are_the_same_notices() {
     let text =
-        b"BOOTED COLD 1500.25\r\nIOREQ 1 9b 4\r\nb\r\n\0\r\nREAP 2 9b OK 3.5 2\r\n\r\n\r\nINFO t 0.5 1\r\nINFO sync-7 0 0\r\n\
+        b"BOOTED COLD 1500.25\r\nIOREQ 1 9b 4\r\nb\r\n\0\r\nREAP 2 9b OK 3.5 2\r\n\r\n\r\nINFO gauges-5 0.5 1\r\nINFO sync-7 0 0\r\n\
         EINVAL SCHED 9b\r\nDMESG 3  all \xff is \t well\r\nREAP 4 9c STOPPED 1 0\r\n\r\n";
     let expected = [
         (None, Notice::Booted { cold: true, ms: 1500.25 }),
         (Some(1), Notice::AtCall { id: "9b".into(), body: b"b\r\n\0".to_vec() }),
         (Some(2), Notice::Ended { id: "9b".into(), how: Reaped::Ok, result: b"\r\n".to_vec() }),
-        (None, Notice::Gauges(vec![0.5, 1.0])),
+        (None, Notice::Gauges { number: 5, values: vec![0.5, 1.0] }),
         (None, Notice::Synced(7)),
         (None, Notice::Refused { command: "SCHED".into(), id: "9b".into() }),
         (Some(3), Notice::Remark("3 all \u{fffd} is well".into())),
@@ -203,11 +203,11 @@
     Command::Stop("9b".into()).write(&mut out);
     Command::Resume("9b".into()).write(&mut out);
     Command::Reply { id: "9b".into(), body: vec![] }.write(&mut out);
-    Command::Gauges.write(&mut out);
+    Command::Gauges(5).write(&mut out);
     Command::Sync(3).write(&mut out);
     Command::Open(12).write(&mut out);
     let expected = b"SCHED 9b a 3\r\n\r\n\0\r\nPREEMPT 9b\r\nRESCHED 9b\r\nIODONE 9b 0\r\n\r\n\
-        SYSINFO gauges\r\nSYSINFO sync-3\r\nOPEN 12\r\n";
+        SYSINFO gauges-5\r\nSYSINFO sync-3\r\nOPEN 12\r\n";
     assert_eq!(out, expected);
 }
 
--- a/crates/lynxtally-node/tests/crossings.rs
+++ b/crates/lynxtally-node/tests/crossings.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code)]
 #[path = "../../../tests/host/mod.rs"]
 mod host;
-use host::world::{config, id, task, until, Caller, World};
+use host::world::{config, id, task, until, Caller, Mood, World};
 use lynxtally_node::accept::{self, Entrance};
 use lynxtally_node::answer::Standing;
 use lynxtally_node::config::{self as told, Bounds};
@@ -213,6 +213,39 @@
     assert_eq!(world.ledger.calls(), 0);
 }
 
+#[test]
+fn a_reply_that_was_read_is_not_said_again_to_a_runs_next_call() {
+    // Any reply was said again on the next link until its run ended or called again: the run could call just then.
+    let world = World::start(NODE);
+    let mut caller = world.caller();
+    caller.send(&task(1, "calls:x"));
+    until("the reply is there", || world.kernel.heard("IODONE") == 1);
+    world.kernel.asked_again();
+    world.kernel.drop_link();
+    until("a new link is made", || world.kernel.heard("OPEN") == 2);
+    world.kernel.asked_again();
+    assert_eq!(world.kernel.heard("IODONE"), 1, "it was read on the link before");
+    world.kernel.end(&id(1), "done");
+    assert_eq!(caller.answer(), (200, "done".into()));
+}
+
+#[test]
+fn a_reply_that_may_not_have_been_read_is_said_again() {
+    let world = World::start(NODE);
+    let mut caller = world.caller();
+    world.ledger.mood(Mood::Waits);
+    caller.send(&task(1, "calls:x"));
+    until("the call is there", || world.ledger.calls() == 1);
+    // From here on no gauges are told, so that nothing shows whether the reply was read.
+    world.kernel.hush(true);
+    world.ledger.mood(Mood::Well);
+    until("the reply is there", || world.kernel.heard("IODONE") == 1);
+    world.kernel.drop_link();
+    until("it is said again", || world.kernel.heard("IODONE") == 2);
+    world.kernel.end(&id(1), "done");
+    assert_eq!(caller.answer(), (200, "done".into()));
+}
+
 #[test]
 fn the_largest_answer_reaches_who_takes_it_an_octet_at_a_time_and_the_others_do_not_wait() {
     let world = World::start(NODE);
--- a/tests/host/world.rs
+++ b/tests/host/world.rs
@@ -1,6 +1,6 @@
 //! Stand-ins for those that a node talks to, on loopback, and the node itself as a program.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
@@ -27,7 +27,7 @@
 }
 
 /// A kernel in which a run ends as its body says: `ok:R` with the result R, `error`, `call:B` with the
-/// reply to a call with the body B, or not at all.
+/// reply to a call with the body B, or not at all; after `calls:B` it goes on after the reply.
 #[derive(Clone)]
 pub struct Kernel(Arc<Mutex<Inside>>);
 
@@ -36,8 +36,11 @@
     link: Option<TcpStream>,
     notices: Vec<Vec<u8>>,
     runs: BTreeMap<String, bool>,
-    /// Every command but those for gauges.
+    /// Runs that go on after a reply.
+    go_on: BTreeSet<String>,
+    /// Every command but those for gauges, and how many of those there were.
     heard: Vec<String>,
+    asked: usize,
     /// Runs that end while this is set are told of only on the next link.
     silent: bool,
     /// A run that stands at a call for so long ends there, as its task is over.
@@ -73,6 +76,8 @@
     fn command(&mut self, words: &[&str], part: &[u8]) {
         if words[0] != "SYSINFO" {
             self.heard.push(words.join(" "));
+        } else if words[1].starts_with("gauges") {
+            self.asked += 1;
         }
         match *words {
             ["OPEN", n] => {
@@ -86,11 +91,17 @@
                 self.runs.insert(id.to_owned(), true);
                 match String::from_utf8_lossy(part).split_once(':') {
                     Some(("ok", result)) => self.end(id, "OK", result.as_bytes()),
-                    Some(("call", body)) => self.notify("IOREQ", id, Some(body.as_bytes())),
+                    Some((how @ ("call" | "calls"), body)) => {
+                        if how == "calls" {
+                            self.go_on.insert(id.to_owned());
+                        }
+                        self.notify("IOREQ", id, Some(body.as_bytes()));
+                    }
                     _ if part == b"error" => self.end(id, "ERROR", b""),
                     _ => {}
                 }
             }
+            ["IODONE", id, _] if self.go_on.contains(id) => {}
             ["IODONE", id, _] => self.end(id, "OK", part),
             ["PREEMPT", id] => self.end(id, "STOPPED", b""),
             _ => {}
@@ -183,6 +194,12 @@
         link.shutdown(Shutdown::Both).expect("it closes");
     }
 
+    /// Waits until it was asked for gauges and has told them: all that it read before shows as read.
+    pub fn asked_again(&self) {
+        let before = lock(&self.0).asked;
+        until("gauges are asked for", || lock(&self.0).asked >= before + 2);
+    }
+
     /// How many commands began like this.
     pub fn heard(&self, start: &str) -> usize {
         lock(&self.0).heard.iter().filter(|line| line.starts_with(start)).count()
