A name that restarts again and again stays within its share of the calls below

Seen, by a model of one name with several lives within the span of the rule (a new story): with a life of 0.3 s and a share of 0.35 calls, 1.08 calls in hand in the mean of 5 s; the dependency falls where all names do so. docs/design.md called it not covered. Ruled out: given-up calls (counted with their linger) and what the last life has (alone it stays under 0.82 of the share, story before). At fault: mod.rs, `before`, which left each fresh process one call at once, also where one before it had just had its own.

On a cold machine no call is free at the start now. Backends die with their kernels, so a warm machine says that nobody lived there just before; there one stays free. The story fails without the change (checked).

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -147,8 +147,10 @@
             _ => (f64::INFINITY, Span::ZERO, Span::ZERO),
         };
         let mean_due = set.stages.iter().map(|s| s.due.secs()).sum::<f64>() / set.stages.len().max(1) as f64;
-        // What the process before this one called is not known: it is taken for all but one call.
-        let before = share * over.secs() - linger.secs() - mean_due * COST_UNSEEN;
+        // What processes before this one called is not known: it is taken for all, spent evenly. On a machine that
+        // is cold there may have been several within the span, so none has a call free; else one at most.
+        let free = if set.cold { 0.0 } else { linger.secs() + mean_due * COST_UNSEEN };
+        let before = share * over.secs() - free;
         let quotas: Vec<f64> =
             set.quotas.iter().map(|quota| quota / f64::from(set.backends.max(1))).collect();
         let row =
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -55,9 +55,14 @@
 
 impl Host {
     pub fn new(set: Settings) -> Self {
+        Self::from(set, 0)
+    }
+
+    /// One that starts then.
+    pub fn from(set: Settings, ms: u64) -> Self {
         Self {
-            policy: Policy::new(set, 1, Instant::from_micros(0)),
-            now: 0,
+            policy: Policy::new(set, 1, Instant::from_micros(ms * 1000)),
+            now: ms,
             next: 0,
             did: Vec::new(),
             credit: None,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -341,15 +341,29 @@
     );
 }
 
-/// The largest plain mean over five seconds of calls in hand of one node whose calls end at once until
-/// `slows` and then never do, each in hand until it is given up and 200 ms longer.
-fn most_in_hand(share: f64, from: u64, slows: u64) -> f64 {
+/// The largest plain mean over five seconds of calls in hand of a name whose processes each live from one of `starts` to
+/// the next, the last for twelve seconds. Calls end at once until `slows`, and from then on never: each is in hand until
+/// it is given up, also by the end of its process, and 200 ms longer.
+fn most_in_hand(share: f64, starts: &[u64], slows: u64) -> f64 {
+    let mut in_hand = vec![0.0; 40_000];
+    for (at, &from) in starts.iter().enumerate() {
+        let to = starts.get(at + 1).copied().unwrap_or(from + 12_000);
+        one_life(share, from, to, slows, &mut in_hand);
+    }
+    let mut sum = 0.0;
+    let spans = in_hand.iter().enumerate().map(|(ms, now)| {
+        sum += now - if ms < 5000 { 0.0 } else { in_hand[ms - 5000] };
+        sum / 5000.0
+    });
+    spans.fold(0.0, f64::max)
+}
+
+fn one_life(share: f64, from: u64, to: u64, slows: u64, in_hand: &mut [f64]) {
     let below = Below::Shared { calls: share, over: Span::from_millis(5000), linger: Span::from_millis(200) };
-    let mut host = Host::new(Settings { below, cores: 4, ..settings() });
-    let (mut out, mut in_hand): (Vec<(u64, TaskId)>, _) = (Vec::new(), vec![0.0; 20_000]);
+    let mut host = Host::from(Settings { below, cores: 4, cold: from > 0, ..settings() }, from);
+    let mut out: Vec<(u64, TaskId)> = Vec::new();
     let mut events: Vec<Event> = Vec::new();
-    host.tick(from, 1.0);
-    for ms in (from..from + 12_000).step_by(5) {
+    for ms in (from..to).step_by(5) {
         out.retain(|&(until, task)| {
             let over = until <= ms;
             if over {
@@ -372,19 +386,19 @@
                     let given_up = ms + time_out.micros() / 1000;
                     let (until, linger) = if ms < slows { (ms + 5, 0) } else { (given_up, 200) };
                     out.push((until, task));
-                    in_hand[ms as usize..(until + linger) as usize].iter_mut().for_each(|n| *n += 1.0);
+                    let gone = (until + linger).min(to + 200);
+                    in_hand[ms as usize..gone as usize].iter_mut().for_each(|n| *n += 1.0);
                 }
                 _ => {}
             }
         }
     }
-    in_hand.windows(5000).map(|span| span.iter().sum::<f64>() / 5000.0).fold(0.0, f64::max)
 }
 
 #[test]
 fn a_dependency_that_slows_down_gets_no_more_than_the_share_in_the_plain_mean() {
     for share in [0.35, 0.41, 0.7, 0.95, 1.2, 2.5] {
-        let most = most_in_hand(share, 0, 6000);
+        let most = most_in_hand(share, &[0], 6000);
         assert!(most > share * 0.4, "herd: calls go on, {most:.2} of {share}");
         assert!(most <= share * 0.82, "herd: the sum over all nodes fell over, {most:.2} of {share}");
     }
@@ -394,10 +408,22 @@
 fn a_process_that_starts_leaves_room_for_what_the_one_before_it_called() {
     // All restart at once, while the dependency takes its time: from the first second on it is theirs evenly.
     let share = 0.41;
-    let most = most_in_hand(share, 0, 0);
+    let most = most_in_hand(share, &[0], 0);
     assert!(most <= share * 0.82, "{most:.2} of {share}");
 }
 
+#[test]
+fn a_name_that_restarts_again_and_again_stays_within_its_share() {
+    // Each life was free to make one call at once: with a few within the span that was more than the share.
+    for share in [0.35, 0.41, 0.7, 1.2, 2.5] {
+        for each in [300, 1000, 2500] {
+            let starts: Vec<u64> = (0..8_000).step_by(each).collect();
+            let most = most_in_hand(share, &starts, 3000);
+            assert!(most <= share, "{most:.2} of {share} with a life of {each} ms");
+        }
+    }
+}
+
 // --- Rule 1: no task lost ---
 
 #[test]
