--- a/src/policy/calls.rs
+++ b/src/policy/calls.rs
@@ -89,11 +89,12 @@
         self.called_fast += self.linger.secs();
     }
 
-    /// The time-out of a call that goes now; none where it has to wait. The rule counts the plain mean of calls
-    /// in hand over a span. What was in hand over the last one, and what is now, each to its last moment after
-    /// being given up, stay under this node's share of it: so the mean does whatever becomes of the dependency,
-    /// and the sum over all nodes does while each does so. Should catch any slowing of it for all at once, also
-    /// in the middle of calls; harms where a call would have come back just past a cut time-out.
+    /// The time-out of a call that goes now; none where it has to wait. The rule counts the plain mean of
+    /// calls in hand over a span. What was in hand over the last one, and what is now, each to its last
+    /// moment after being given up, stay under this node's share of it: so the mean does whatever becomes of
+    /// the dependency, and the sum over all nodes does while each does so. Should catch any slowing of it for
+    /// all at once, also in the middle of calls; harms where a call would have come back just past a cut
+    /// time-out.
     pub(super) fn call_time_out(&mut self, id: TaskId) -> Option<Span> {
         let wish = self.time_out(id);
         if let Some((_, longest)) = self.grant {
@@ -107,7 +108,8 @@
         let ahead = self.load.calls_over - self.load.calling * (self.now - self.started).secs();
         let one = self.linger.secs() + need;
         let spent = self.called.sum(self.now) + ahead;
-        // What all spend at once as a dependency slows crowds it, and is missing to all for the rest of the span.
+        // What all spend at once as a dependency slows crowds it, and is missing to all for the rest of the
+        // span.
         let fast = self.called_fast + ahead + one <= (most * CALLS_AT_ONCE).max(one);
         // A share that no call fits in lets one out when nothing was for a whole span.
         let room = if spent > 0.0 { most - spent } else { (most - spent).max(one) };
--- a/src/policy/learn.rs
+++ b/src/policy/learn.rs
@@ -7,8 +7,8 @@
         basis * self.rows[stage].cost / self.rows[stage].basis
     }
 
-    /// The paper's demand: expected cost over due time, in cores. One due time for all, the mean, as nothing paces
-    /// a run: what may take longer demands the cores no less. Harms where runs are paced.
+    /// The paper's demand: expected cost over due time, in cores. One due time for all, the mean, as nothing
+    /// paces a run: what may take longer demands the cores no less. Harms where runs are paced.
     pub(super) fn demand(&self, stage: usize, basis: f64) -> f64 {
         (self.cost(stage, basis) / self.mean_due.max(1e-3)).max(1e-9)
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -97,8 +97,8 @@
     load: Load,
     /// Core time that a task running since the start would have had, in seconds.
     clock: f64,
-    /// What this node may have in the hands of a shared dependency in the mean, and for how long what it gave up
-    /// stays there; the call time that this had lately, in seconds, and the same less what is used evenly.
+    /// What this node may have in the hands of a shared dependency in the mean, and for how long what it gave
+    /// up stays there; the call time that this had lately, in seconds, and the same less what is used evenly.
     share: f64,
     linger: Span,
     called: Lately,
@@ -114,7 +114,8 @@
     call_time: f64,
     /// Calls that were given up here and are still in hand below, where the rule counts them.
     lingering: f64,
-    /// Calls in hand at most and the longest of them, where they are granted; when each that was given up is over.
+    /// Calls in hand at most and the longest of them, where they are granted; when each that was given up is
+    /// over.
     grant: Option<(u64, Span)>,
     given_up: Times,
     wanted: u64,
@@ -147,8 +148,9 @@
             _ => (f64::INFINITY, Span::ZERO, Span::ZERO),
         };
         let mean_due = set.stages.iter().map(|s| s.due.secs()).sum::<f64>() / set.stages.len().max(1) as f64;
-        // What processes before this one called is not known: it is taken for all, spent evenly. On a machine that
-        // is cold there may have been several within the span, so none has a call free; else one at most.
+        // What processes before this one called is not known: it is taken for all, spent evenly. On a machine
+        // that is cold there may have been several within the span, so none has a call free; else one at
+        // most.
         let free = if set.cold { 0.0 } else { linger.secs() + mean_due * COST_UNSEEN };
         let before = share * over.secs() - free;
         let quotas: Vec<f64> =
@@ -219,8 +221,8 @@
         }
     }
 
-    /// Parts granted for a while take the place of the settings'. What was begun under a larger one goes on, and
-    /// nothing is begun until it fits under this one.
+    /// Parts granted for a while take the place of the settings'. What was begun under a larger one goes on,
+    /// and nothing is begun until it fits under this one.
     fn granted(&mut self, shares: Shares) {
         self.grant = shares.calls;
         for (customer, quota) in self.quotas.iter_mut().enumerate() {
@@ -229,7 +231,8 @@
         }
     }
 
-    /// Calls in hand below, with those that were given up and may be; and how many were wanted and made so far.
+    /// Calls in hand below, with those that were given up and may be; and how many were wanted and made so
+    /// far.
     pub fn called(&mut self) -> (u64, u64, u64) {
         (self.load.calling as u64 + self.given_up.after(self.now), self.wanted, self.made)
     }
@@ -398,8 +401,8 @@
         self.put(id, Place::Held);
         self.likeness.note(arrival.caller, GAIN);
         self.unread += (arrival.unread.secs() - self.unread) * UNREAD_GAIN;
-        // An effect that may have happened is answered from its first run, never run again or rejected: also while
-        // leaving, and where nobody has paid for it anew.
+        // An effect that may have happened is answered from its first run, never run again or rejected: also
+        // while leaving, and where nobody has paid for it anew.
         let again = match arrival.repeat {
             Repeat::No => false,
             Repeat::OfReleased => true,
