Connections at rest: the longest go first, no more than it takes, where cores have room

At fault: answer.rs, CloseIdle with the mean due time: with hundreds of callers each connection is used once in tens of seconds, so that was nearly the whole table at once, and it came back at once.

The span now starts at the callers' own and nears the mean due time over the shortest due time, while cores have room and the table is full, else it goes back: the longest at rest go first. A story fails without it (checked).

Real sockets were not run with this one.

--- a/src/policy/answer.rs
+++ b/src/policy/answer.rs
@@ -70,7 +70,7 @@
         }
         actions.extend(self.logs.drain(..).map(Action::Log));
         if std::mem::take(&mut self.timer_wanted) {
-            actions.extend(self.close_idle.then(|| Action::CloseIdle(Span::from_secs(self.mean_due))));
+            actions.extend(self.close_idle.then(|| Action::CloseIdle(Span::from_secs(self.idle_span))));
             actions.push(Action::Timer(self.period));
         }
     }
--- a/src/policy/learn.rs
+++ b/src/policy/learn.rs
@@ -51,6 +51,11 @@
         self.busy += (gauges.cores_busy.unwrap_or(1.0) - self.busy) * PERIOD / 3.0;
         let (open, crowd) = (gauges.connections.unwrap_or(0.0), self.set.crowd_limit * self.cores);
         self.close_idle = self.busy < ROOM && open > crowd * FAR && f64::from(self.set.callers) > open * FAR;
+        // The longest at rest go first, no more than it takes: all at once would be back at once, each at the
+        // cost of a new connection. Harms where the room is needed at once.
+        let longest = self.set.idle_after.secs().max(self.mean_due);
+        let toward = if self.close_idle { self.mean_due } else { longest };
+        self.idle_span += (toward - self.idle_span) * PERIOD;
         if self.load.on_cores < self.cores {
             return self.full_since = None;
         }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -127,9 +127,11 @@
     /// Health and free value as the host was last told; whether the timer has to be set again.
     told: (Option<bool>, Option<f64>),
     timer_wanted: bool,
-    /// How busy the cores are over seconds, and whether connections that carry nothing shall go.
+    /// How busy the cores are over seconds, whether connections that carry nothing shall go, and for how many
+    /// seconds they have to have carried nothing.
     busy: f64,
     close_idle: bool,
+    idle_span: f64,
     logs: Vec<String>,
 }
 
@@ -200,6 +202,7 @@
             timer_wanted: true,
             busy: 1.0,
             close_idle: false,
+            idle_span: set.idle_after.secs().max(mean_due),
             logs: Vec::new(),
             set,
         }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -674,6 +674,25 @@
     }
 }
 
+#[test]
+fn of_unused_connections_the_longest_at_rest_go_first() {
+    // All that had rested for the mean due time went at once, and came back at the cost of as many new ones.
+    let mut host = Host::new(Settings { callers: 900, idle_after: Span::from_millis(30_000), ..settings() });
+    let mut spans = Vec::new();
+    for i in 0..1200 {
+        let busy = if (400..800).contains(&i) { 1.0 } else { 0.3 };
+        host.happen(i * 25, [Event::Timer(Gauges { cores_busy: Some(busy), connections: Some(60.0) })]);
+        let span =
+            host.did.iter().find_map(|a| if let Action::CloseIdle(s) = a { Some(s.secs()) } else { None });
+        spans.push(span);
+    }
+    let told: Vec<f64> = spans[..400].iter().flatten().copied().collect();
+    assert!(told.windows(2).all(|pair| pair[1] <= pair[0]), "it shrinks while cores have room");
+    assert!(told[0] > 20.0 && told[told.len() - 1] < 2.0, "{} to {}", told[0], told[told.len() - 1]);
+    let again = spans[800..].iter().flatten().next().expect("room is made again");
+    assert!(*again > 5.0, "where cores were busy meanwhile, the longest at rest go first anew: {again}");
+}
+
 #[test]
 fn a_hasty_time_out_does_not_cut_the_window() {
     let mut host = Host::new(Settings { cores: 6, below: Below::Tier, ..settings() });
