--- a/crates/core/names/src/kind.rs
+++ b/crates/core/names/src/kind.rs
@@ -266,7 +266,9 @@
             Self::U32 | Self::Time | Self::V4 => fixed(4),
             Self::V6 => fixed(16),
             Self::Text => fixed(1 + usize::from(*data.first()?)),
-            Self::Word => fixed(1 + usize::from(*data.first()?)).filter(|length| *length > 1),
+            // What could be had over the wire and not be written in a zone file would cost the whole file.
+            Self::Word => fixed(1 + usize::from(*data.first()?))
+                .filter(|length| *length > 1 && data[1..*length].iter().all(u8::is_ascii_alphanumeric)),
             Self::Texts => {
                 let mut at = 0;
                 while at < data.len() {
--- a/crates/core/names/tests/props.rs
+++ b/crates/core/names/tests/props.rs
@@ -128,3 +128,12 @@
         prop_assert!(read.faults.iter().all(|f| f.line as usize <= text.lines().count().max(1)));
     }
 }
+
+#[test]
+fn a_property_tag_that_no_zone_file_can_hold_is_refused_over_the_wire_as_well() {
+    let caa = Kind(257);
+    assert!(caa.canonical(b"\x00\x05issueca.example").is_some());
+    for bad in [&b"\x00\x02\x00\x00x"[..], b"\x00\x03a bx", b"\x00\x00x", b"\x00\x09issue"] {
+        assert_eq!(caa.canonical(bad), None, "{bad:?}");
+    }
+}
