--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -113,6 +113,21 @@
         let _ = self.0.wait();
     }
 
+    /// SIGTERM; returns whether the process ended within this time, and kills it otherwise.
+    pub fn terminate(mut self, case: &Case, within: Duration) -> bool {
+        let id = self.0.id().to_string();
+        case.note(&format!("SIGTERM to process {id}"));
+        let _ = Command::new("kill").args(["-TERM", &id]).status();
+        let until = Instant::now() + within;
+        while !self.has_ended() {
+            if Instant::now() > until {
+                return false;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        true
+    }
+
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.0.try_wait(), Ok(None))
     }
