--- a/crates/frontends/net/src/connection.rs
+++ b/crates/frontends/net/src/connection.rs
@@ -102,6 +102,7 @@
     }
 
     /// Waits until the connection is readable or writable, or its mailbox has a message.
+    #[track_caller]
     pub fn wait(&self) {
         self.socket.wait();
     }
--- a/crates/frontends/net/src/fair_yield.rs
+++ b/crates/frontends/net/src/fair_yield.rs
@@ -55,6 +55,7 @@
     }
 
     /// Waits until all other connections with pending events have had a chance to run, or until the socket has an event.
+    #[track_caller]
     pub fn yield_on(&self, socket: &Socket) {
         let mut waiting = lock(&self.0.waiting);
         let is_first = waiting.is_empty();
--- a/crates/frontends/net/src/socket.rs
+++ b/crates/frontends/net/src/socket.rs
@@ -1,6 +1,7 @@
 //! A non-blocking TCP socket, which several coroutines may read and write, and on which a coroutine can wait for events.
 
 use crate::close_reason::CloseReason;
+use crate::sync::assert_no_lock_held;
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -40,7 +41,12 @@
     ///
     /// # Errors
     /// The reason why no connection was made.
+    ///
+    /// # Panics
+    /// The caller holds a lock of [`crate::sync`].
+    #[track_caller]
     pub fn connect(to: SocketAddr, timeout: Duration) -> Result<Self, CloseReason> {
+        assert_no_lock_held();
         let connected = may::net::TcpStream::connect_timeout(&to, timeout.max(MIN_CONNECT_TIMEOUT));
         let connected = connected.map_err(|error| CloseReason::from_connect_error(&error))?;
         // Registers the same socket again: the new registration has no pending events of the connect.
@@ -75,7 +81,12 @@
     }
 
     /// Waits until the socket is readable or writable, or its waker is used.
+    ///
+    /// # Panics
+    /// The caller holds a lock of [`crate::sync`].
+    #[track_caller]
     pub fn wait(&self) {
+        assert_no_lock_held();
         self.stream.wait_io();
     }
 
--- a/crates/frontends/net/src/timer.rs
+++ b/crates/frontends/net/src/timer.rs
@@ -4,10 +4,10 @@
 //! a short wait can expire in between, and the coroutine is then never woken. They would also run coroutines on a second
 //! thread.
 
-use crate::sync::lock;
+use crate::sync::assert_no_lock_held;
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -72,7 +72,7 @@
 
     /// Runs a callback on the timer thread after `wait`. The callback must not block, because it delays all others.
     pub fn run_after(&self, wait: Duration, callback: impl FnOnce() + Send + 'static) {
-        let mut queue = lock(&self.0.queue);
+        let mut queue = self.0.lock_queue();
         queue.last_number += 1;
         let number = queue.last_number;
         let due = Instant::now() + wait;
@@ -81,7 +81,12 @@
     }
 
     /// Suspends the calling coroutine for `wait`.
+    ///
+    /// # Panics
+    /// The caller holds a lock of [`crate::sync`].
+    #[track_caller]
     pub fn sleep(&self, wait: Duration) {
+        assert_no_lock_held();
         let (wake, woken) = may::sync::mpsc::channel();
         // Sending fails only if the receiver is gone, which means that the program is ending.
         self.run_after(wait, move || {
@@ -92,8 +97,13 @@
 }
 
 impl Shared {
+    /// Locks the queue. The timer thread waits on the condition variable with this lock, and nothing is called under it.
+    fn lock_queue(&self) -> MutexGuard<'_, Queue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn run(&self) {
-        let mut queue = lock(&self.queue);
+        let mut queue = self.lock_queue();
         loop {
             let now = Instant::now();
             let wait = queue.callbacks.peek().map(|Reverse(first)| first.due.saturating_duration_since(now));
@@ -104,7 +114,7 @@
                     if let Some(Reverse(due)) = due {
                         (due.callback)();
                     }
-                    lock(&self.queue)
+                    self.lock_queue()
                 }
                 Some(wait) => {
                     let woken = self.changed.wait_timeout(queue, wait);
