--- a/crates/frontends/stream/src/proxy/client_connection.rs
+++ b/crates/frontends/stream/src/proxy/client_connection.rs
@@ -102,14 +102,15 @@
                 received.drain(..length);
                 return Ok(request);
             }
-            let mut scratch = lock(&self.scratch);
-            let read = socket.read(&mut scratch[..MAX_HEAD_BYTES + 1]);
-            if let Ok(ReadOutcome::Bytes(bytes)) = read {
-                received.extend_from_slice(&scratch[..bytes]);
-                continue;
-            }
-            drop(scratch);
+            let read = self.scratch.with(|scratch| {
+                let read = socket.read(&mut scratch[..MAX_HEAD_BYTES + 1]);
+                if let Ok(ReadOutcome::Bytes(bytes)) = read {
+                    received.extend_from_slice(&scratch[..bytes]);
+                }
+                read
+            });
             match read {
+                Ok(ReadOutcome::Bytes(_)) => continue,
                 Err(reason) => return Err(Ok(reason)),
                 Ok(ReadOutcome::EndOfStream) => {
                     return Err(Ok(if received.is_empty() {
@@ -170,10 +171,7 @@
             {
                 return CloseReason::Reset;
             }
-            let mut scratch = lock(&self.scratch);
-            let read = socket.read(&mut scratch);
-            drop(scratch);
-            match read {
+            match self.scratch.with(|scratch| socket.read(scratch)) {
                 Ok(ReadOutcome::Bytes(bytes)) if bytes as u64 <= unread_limit => unread_limit -= bytes as u64,
                 Ok(ReadOutcome::WouldBlock) if Instant::now() < deadline => socket.wait(),
                 Err(reason) => return reason,
--- a/crates/frontends/stream/src/proxy/exchange.rs
+++ b/crates/frontends/stream/src/proxy/exchange.rs
@@ -4,7 +4,7 @@
 use super::{AfterRequest, Proxy};
 use crate::http::LocalResponse;
 use crate::proxied_request::{ProxiedRequest, ProxyError};
-use crate::request_manager::{RequestHandle, TransferReport};
+use crate::request_manager::{RequestHandle, TransferAllowance, TransferReport};
 use crate::upload_archive::{PendingOperation, UploadArchive};
 use lynxtally_engine::{FinalResponse, RunEnd, Scheduler};
 use lynxtally_flow::uploads::UploadId;
@@ -286,6 +286,35 @@
         }
     }
 
+    /// Transfers bytes in both directions until nothing more can be transferred, the request is done, or the bytes of
+    /// one turn are used up. Returns whether the last step made progress.
+    fn transfer_until_blocked(
+        &self,
+        exchange: &Exchange,
+        state: &mut ExchangeState,
+        allowance: TransferAllowance,
+        report: &mut TransferReport,
+    ) -> bool {
+        let mut budget = BYTES_PER_TURN;
+        let mut progressed = true;
+        while progressed && state.outcome.is_none() && budget > 0 {
+            let output_before = state.proxied.client_output().len();
+            let step = self.scratch.with(|scratch| {
+                self.transfer_request(exchange, state, allowance, scratch, report)
+                    + self.transfer_response(exchange, state, allowance, scratch, report)
+            });
+            // Output that was added without any transfer, such as a response of the proxy's own, still has to
+            // be written.
+            progressed = step > 0 || state.proxied.client_output().len() > output_before;
+            if state.proxied.is_done() {
+                // What the client sends from now on belongs to its next request.
+                break;
+            }
+            budget = budget.saturating_sub(step);
+        }
+        progressed
+    }
+
     /// Transfers bytes in both directions as far as possible now.
     pub(super) fn transfer(&self, exchange: &Exchange) -> Transfer {
         let mut state = lock(&exchange.state);
@@ -302,23 +331,7 @@
         }
         let allowance = lock(&self.manager).allowance(&exchange.handle);
         let mut report = TransferReport::default();
-        let mut budget = BYTES_PER_TURN;
-        let mut scratch = lock(&self.scratch);
-        let mut progressed = true;
-        while progressed && state.outcome.is_none() && budget > 0 {
-            let output_before = state.proxied.client_output().len();
-            let mut step = self.transfer_request(exchange, state, allowance, &mut scratch, &mut report);
-            step += self.transfer_response(exchange, state, allowance, &mut scratch, &mut report);
-            // Output that was added without any transfer, such as a response of the proxy's own, still has to
-            // be written.
-            progressed = step > 0 || state.proxied.client_output().len() > output_before;
-            if state.proxied.is_done() {
-                // What the client sends from now on belongs to its next request.
-                break;
-            }
-            budget = budget.saturating_sub(step);
-        }
-        drop(scratch);
+        let progressed = self.transfer_until_blocked(exchange, state, allowance, &mut report);
         if state.outcome.is_none() && state.proxied.is_done() {
             state.outcome = Some(Outcome::Completed);
         }
--- a/crates/frontends/stream/src/proxy/mod.rs
+++ b/crates/frontends/stream/src/proxy/mod.rs
@@ -20,7 +20,7 @@
 use lynxtally_net::fair_yield::FairYield;
 use lynxtally_net::listener::ListenerSet;
 use lynxtally_net::socket::Socket;
-use lynxtally_net::sync::lock;
+use lynxtally_net::sync::{lock, Shared};
 use lynxtally_net::timer::Timer;
 use may::io::WaitIoWaker;
 use std::net::IpAddr;
@@ -61,7 +61,7 @@
     timer: Timer,
     fair_yield: FairYield,
     /// The buffer for all reads. One is enough, because a single worker thread runs all coroutines.
-    pub(crate) scratch: Mutex<Vec<u8>>,
+    pub(crate) scratch: Shared<Vec<u8>>,
     /// The archive of resumable uploads, if the settings name a directory for it.
     pub archive: Option<Arc<UploadArchive>>,
     weak_self: Weak<Self>,
@@ -91,7 +91,7 @@
             listeners: ListenerSet::new(timer.clone()),
             timer,
             fair_yield,
-            scratch: Mutex::new(vec![0; SCRATCH_BYTES]),
+            scratch: Shared::new(vec![0; SCRATCH_BYTES]),
             archive,
             settings,
             weak_self: weak_self.clone(),
--- a/crates/frontends/stream/src/resumable_upload.rs
+++ b/crates/frontends/stream/src/resumable_upload.rs
@@ -457,14 +457,8 @@
                     as usize;
             if !pipe.is_complete() && room > 0 {
                 let bytes = if received.is_empty() {
-                    let mut scratch = lock(&self.scratch);
-                    let max_bytes = room.min(scratch.len());
-                    match socket.read(&mut scratch[..max_bytes]) {
-                        Ok(ReadOutcome::Bytes(bytes)) => scratch[..bytes].to_vec(),
-                        Ok(ReadOutcome::WouldBlock) => Vec::new(),
-                        Ok(ReadOutcome::EndOfStream) => {
-                            return self.archive_rest(writer, pipe, pending_append, CloseReason::Truncated)
-                        }
+                    match self.read_available(socket, room) {
+                        Ok(bytes) => bytes,
                         Err(reason) => return self.archive_rest(writer, pipe, pending_append, reason),
                     }
                 } else {
@@ -504,6 +498,21 @@
         }
     }
 
+    /// Reads at most `max_bytes` that the client has sent; none if none are available yet.
+    ///
+    /// # Errors
+    /// Why the client sends nothing more.
+    fn read_available(&self, socket: &Socket, max_bytes: usize) -> Result<Vec<u8>, CloseReason> {
+        self.scratch.with(|scratch| {
+            let max_bytes = max_bytes.min(scratch.len());
+            match socket.read(&mut scratch[..max_bytes])? {
+                ReadOutcome::Bytes(bytes) => Ok(scratch[..bytes].to_vec()),
+                ReadOutcome::WouldBlock => Ok(Vec::new()),
+                ReadOutcome::EndOfStream => Err(CloseReason::Truncated),
+            }
+        })
+    }
+
     /// Sends the decoded bytes that wait in the pipe to the archive.
     fn append_to_archive(
         &self,
