--- a/crates/frontends/stream/src/resumable_upload.rs
+++ b/crates/frontends/stream/src/resumable_upload.rs
@@ -128,7 +128,8 @@
             (None, false) => self.settings.class(&request),
             // A request that resumes an upload belongs to the class of the request that created it.
             (Some(id), _) if request.method == "PATCH" => {
-                let head = lock(&archive.uploads).get(id).map(|upload| upload.request_head.clone());
+                let head =
+                    archive.uploads.with(|uploads| uploads.get(id).map(|upload| upload.request_head.clone()));
                 let created_by = head.as_deref().and_then(|head| RequestHead::parse(head).ok().flatten());
                 created_by
                     .ok_or(MessageError::UnknownUpload)
@@ -173,11 +174,11 @@
                 let response = match method {
                     // A connection that still sends this upload must not move the offset that this response
                     // reports.
-                    "HEAD" | "GET" => match lock(&archive.uploads).take_over(id) {
+                    "HEAD" | "GET" => match archive.uploads.with(|uploads| uploads.take_over(id)) {
                         Ok(_) => None,
                         Err(error) => Some(refusal(error, None)),
                     },
-                    "DELETE" if lock(&archive.uploads).get(id).is_some() => {
+                    "DELETE" if archive.uploads.with(|uploads| uploads.get(id).is_some()) => {
                         archive.remove(id);
                         Some(LocalResponse::new(204, ""))
                     }
@@ -226,7 +227,7 @@
             updated_secs: unix_seconds(),
             is_complete: false,
         };
-        let created = lock(&archive.uploads).create(id, upload);
+        let created = archive.uploads.with(|uploads| uploads.create(id, upload));
         let (entry, number) = match created {
             Ok(created) => created,
             Err(error) => {
@@ -241,7 +242,7 @@
         };
         let waker = socket.waker();
         if let Err(error) = self.await_operation(socket, &archive.record(entry, move || waker.wakeup())) {
-            lock(&archive.uploads).remove(id);
+            archive.uploads.with(|uploads| uploads.remove(id));
             return self.end_with_response(
                 socket,
                 handle,
@@ -305,14 +306,15 @@
             Framing::Empty if complete => Some(offset),
             _ => None,
         });
-        let mut uploads = lock(&archive.uploads);
-        let resumed = uploads.resume(id, offset).and_then(|number| {
-            announced_length.map_or(Ok(()), |length| uploads.set_length(id, length)).map(|()| number)
+        let resumed = archive.uploads.with(|uploads| {
+            let number = uploads.resume(id, offset)?;
+            if let Some(length) = announced_length {
+                uploads.set_length(id, length)?;
+            }
+            Ok((number, uploads.get(id).map_or(0, |upload| upload.checksum)))
         });
-        let checksum = uploads.get(id).map_or(0, |upload| upload.checksum);
-        drop(uploads);
         match resumed {
-            Ok(number) => {
+            Ok((number, checksum)) => {
                 let writer = UploadWriter { archive, socket, handle, id, number, checksum };
                 self.store_body(writer, request, received, 204)
             }
@@ -359,7 +361,7 @@
         socket: &Arc<Socket>,
         id: UploadId,
     ) -> Result<(), ArchiveError> {
-        let Some(entry) = lock(&archive.uploads).progress_entry(id) else { return Ok(()) };
+        let Some(entry) = archive.uploads.with(|uploads| uploads.progress_entry(id)) else { return Ok(()) };
         let waker = socket.waker();
         self.await_operation(socket, &archive.record(entry, move || waker.wakeup())).map(drop)
     }
@@ -377,7 +379,7 @@
         let mut pipe = BodyPipe::new(request.framing, Framing::Close, ContentCoder::identity());
         let mut outcome = self.receive_upload(&mut writer, &mut pipe, request, received);
         if let (ReceiveOutcome::Complete, Some(true)) = (&outcome, request.known.upload.complete) {
-            match lock(&archive.uploads).complete(id, writer.number) {
+            match archive.uploads.with(|uploads| uploads.complete(id, writer.number)) {
                 Ok(true) => {}
                 Ok(false) => {
                     outcome = ReceiveOutcome::Respond(LocalResponse {
@@ -522,13 +524,9 @@
         let bytes = pipe.out.front().to_vec();
         let checksum = crc32c::crc32c_append(writer.checksum, &bytes);
         let length = bytes.len();
-        lock(&writer.archive.uploads).append(
-            writer.id,
-            writer.number,
-            length as u64,
-            checksum,
-            unix_seconds(),
-        )?;
+        let (id, number) = (writer.id, writer.number);
+        let uploads = &writer.archive.uploads;
+        uploads.with(|uploads| uploads.append(id, number, length as u64, checksum, unix_seconds()))?;
         writer.checksum = checksum;
         pipe.out.consume(length);
         let waker = writer.socket.waker();
@@ -566,8 +564,9 @@
         id: UploadId,
         received: &mut Vec<u8>,
     ) -> AfterRequest {
-        let stored =
-            lock(&archive.uploads).get(id).map(|upload| (upload.request_head.clone(), upload.offset));
+        let stored = archive
+            .uploads
+            .with(|uploads| uploads.get(id).map(|upload| (upload.request_head.clone(), upload.offset)));
         let request = stored.and_then(|(mut head, length)| {
             // The stored head ends with an empty line; the length of the body is added before it.
             head.truncate(head.len() - 2);
@@ -603,9 +602,10 @@
 const REFUSED_RETRY_AFTER: lynxtally::Span = lynxtally::Span::from_millis(1000);
 
 fn upload_state(archive: &UploadArchive, id: UploadId) -> Option<UploadState> {
-    lock(&archive.uploads)
-        .get(id)
-        .map(|upload| UploadState { offset: upload.offset, is_complete: upload.is_complete })
+    archive.uploads.with(|uploads| {
+        let upload = uploads.get(id)?;
+        Some(UploadState { offset: upload.offset, is_complete: upload.is_complete })
+    })
 }
 
 /// The response to a request that was not admitted, or was not finished by its deadline.
--- a/crates/frontends/stream/src/upload_archive/mod.rs
+++ b/crates/frontends/stream/src/upload_archive/mod.rs
@@ -13,7 +13,7 @@
 
 use lynxtally_flow::uploads::{Entry, UploadId, UploadLimits, Uploads};
 use lynxtally_net::directory::DirectoryStorage;
-use lynxtally_net::sync::lock;
+use lynxtally_net::sync::{lock, Shared};
 use recovery::{recover, RecoveredArchive};
 use std::path::Path;
 use std::sync::mpsc::{self, Sender};
@@ -74,7 +74,7 @@
 /// The archive of the resumable uploads of a server.
 pub struct UploadArchive {
     /// The state of each upload, including changes that are not durable yet.
-    pub uploads: Mutex<Uploads>,
+    pub uploads: Shared<Uploads>,
     operations: Sender<Operation>,
 }
 
@@ -100,7 +100,7 @@
             .name("archive".to_owned())
             .spawn(move || worker.run(&receiver))
             .map_err(OpenErrorCause::Thread)?;
-        Ok(Arc::new(Self { uploads: Mutex::new(uploads), operations }))
+        Ok(Arc::new(Self { uploads: Shared::new(uploads), operations }))
     }
 
     fn send(&self, operation: Operation) {
@@ -144,7 +144,7 @@
 
     /// Removes an upload and its bytes.
     pub fn remove(&self, id: UploadId) {
-        let removal = lock(&self.uploads).remove(id);
+        let removal = self.uploads.with(|uploads| uploads.remove(id));
         if let Some(entry) = removal {
             self.record(entry, || ());
             self.send(Operation::Remove { id });
@@ -153,7 +153,7 @@
 
     /// Removes the uploads that have expired.
     pub fn remove_expired(&self) {
-        let expired = lock(&self.uploads).expired(unix_seconds());
+        let expired = self.uploads.with(|uploads| uploads.expired(unix_seconds()));
         for id in expired {
             info!(upload = file_name(id), "upload expired");
             self.remove(id);
