--- a/crates/core/engine/src/actions.rs
+++ b/crates/core/engine/src/actions.rs
@@ -1,8 +1,9 @@
 //! Executes the scheduler's actions, and ensures that each request gets one final response and is charged at most once.
 
-use crate::deduplication::{IdempotencyKey, SettledDuplicate};
+use crate::deduplication::{DuplicateOutcome, SettledDuplicate};
 use crate::engine::Engine;
 use crate::executor::Executor;
+use crate::identity::{ContentFingerprint, RequestIdentity};
 use crate::response::{FinalResponse, Responder};
 use crate::scheduler::Scheduler;
 use crate::timers::Timer;
@@ -60,21 +61,31 @@
             Action::SetTimer(period) => self.timers.set_period(now, period),
             Action::Log(text) => responder.log(&text),
             Action::ReleaseId(request) => self.release_request(now, request, executor, responder),
-            Action::Coalesce(request) => {
-                if let Some(key) = self.idempotency_key(request) {
-                    let settled = self.deduplication.coalesce(&key, request);
-                    self.settle_duplicates(settled, responder);
-                }
-            }
+            Action::Coalesce(request) => self.coalesce(request, executor, responder),
             Action::RetainKey(request, duration) => {
-                if let Some(key) = self.idempotency_key(request) {
-                    self.deduplication.retain_key(now, &key, request, duration);
+                if let Some(identity) = self.identity(request) {
+                    self.deduplication.retain_key(now, &identity, request, duration);
                 }
             }
             Action::ReleaseKey(request) => self.release_key(request, responder),
         }
     }
 
+    fn coalesce(
+        &mut self,
+        request: RequestId,
+        executor: &mut impl Executor<ExecutorState>,
+        responder: &mut impl Responder<ReplyTo>,
+    ) {
+        let Some(identity) = self.identity(request) else { return };
+        let settled = self.deduplication.coalesce(&identity, request);
+        let awaits_content = settled.is_none() && identity.content() == ContentFingerprint::Pending;
+        if let Some(open) = self.open.get_mut(request).filter(|_| awaits_content) {
+            executor.receive_content(request, &mut open.executor_state);
+        }
+        self.settle_duplicates(settled, responder);
+    }
+
     fn start_call(
         &mut self,
         now: Instant,
@@ -102,8 +113,8 @@
     ) {
         self.ids.release(request);
         let Some(mut open) = self.open.remove(request) else { return };
-        if let Some(key) = open.idempotency_key {
-            let settled = self.deduplication.release_request(now, &key, request);
+        if let Some(identity) = &open.identity {
+            let settled = self.deduplication.release_request(now, identity.key(), request);
             self.settle_duplicates(settled, responder);
         }
         if let Some(number) = open.call_number {
@@ -114,25 +125,28 @@
 
     /// Forgets a request's idempotency key, so that the next request with this key runs. Duplicates that waited fail.
     pub(crate) fn release_key(&mut self, request: RequestId, responder: &mut impl Responder<ReplyTo>) {
-        if let Some(key) = self.idempotency_key(request) {
-            let settled = self.deduplication.release_key(&key, request);
+        if let Some(identity) = self.identity(request) {
+            let settled = self.deduplication.release_key(identity.key(), request);
             self.settle_duplicates(settled, responder);
         }
     }
 
-    fn idempotency_key(&self, request: RequestId) -> Option<IdempotencyKey> {
-        self.open.get(request)?.idempotency_key.clone()
+    fn identity(&self, request: RequestId) -> Option<RequestIdentity> {
+        self.open.get(request)?.identity.clone()
     }
 
-    /// Responds to duplicates with the result of the first run, or that they failed if there is none. The scheduler is told
-    /// that their runs ended.
+    /// Responds to duplicates. The scheduler is told that their runs ended.
     pub(crate) fn settle_duplicates(
         &mut self,
         settled: impl IntoIterator<Item = SettledDuplicate>,
         responder: &mut impl Responder<ReplyTo>,
     ) {
-        for SettledDuplicate { request, result } in settled {
-            let response = result.map_or(FinalResponse::Failed, FinalResponse::Completed);
+        for SettledDuplicate { request, outcome } in settled {
+            let response = match outcome {
+                DuplicateOutcome::Result(result) => FinalResponse::Completed(result),
+                DuplicateOutcome::WithoutResult => FinalResponse::Failed,
+                DuplicateOutcome::KeyConflict => FinalResponse::KeyConflict,
+            };
             self.respond(request, response, responder);
             self.deferred_events.push(Event::RunEnded(request, RunOutcome::Responded));
         }
@@ -151,7 +165,7 @@
         match &response {
             FinalResponse::Completed(_) => self.counts.completed += 1,
             FinalResponse::Rejected { .. } => self.counts.rejected += 1,
-            FinalResponse::Failed => self.counts.failed += 1,
+            FinalResponse::Failed | FinalResponse::KeyConflict => self.counts.failed += 1,
         }
         let completed = matches!(response, FinalResponse::Completed(_));
         let delivered = responder.respond(reply_to, response);
@@ -165,8 +179,9 @@
     pub(crate) fn settle_price(&mut self, request: RequestId, charged: bool) {
         let Some(open) = self.open.get_mut(request) else { return };
         let Some(hold) = open.price_hold.take() else { return };
-        let key = open.idempotency_key.as_ref();
-        let charged = charged && key.is_none_or(|key| self.deduplication.charge_once(key));
+        let identity = open.identity.as_ref();
+        let charged =
+            charged && identity.is_none_or(|identity| self.deduplication.charge_once(identity.key()));
         self.wallets.settle(hold, charged);
     }
 }
--- a/crates/core/engine/src/deduplication.rs
+++ b/crates/core/engine/src/deduplication.rs
@@ -1,28 +1,20 @@
 //! Recognizes duplicate requests by their idempotency keys, and retains results for them.
 //!
-//! A request is a duplicate of an earlier one if both the idempotency key and the fingerprint are equal. A request with
-//! the same key but another fingerprint is a conflict: it is not run and does not get the earlier request's result. This
-//! protects against keys that are copied, guessed or used twice by mistake. The cost is that a client whose retries
-//! differ in their bodies sees these retries fail; nothing is executed twice.
+//! A request is a duplicate of an earlier one if tenant, idempotency key and content are equal. Requests of different
+//! tenants never are. A request of the same tenant with the same key but other content is a conflict: it is not run and
+//! does not get the earlier request's result. This protects against keys that are copied, guessed or used twice by
+//! mistake. The cost is that a client whose retries differ in their bodies sees these retries fail; nothing is executed
+//! twice.
+//!
+//! A frontend that submits a request before it has received the content reports the fingerprint later. Until then a
+//! request with a known key waits: it is not run, and it gets the result only once its content is known to be equal.
 
+use crate::identity::{ContentFingerprint, Fingerprint, IdempotencyKey, RequestIdentity};
 use lynxtally::{Duplicate, Instant, RequestId, Span};
 use std::collections::BTreeMap;
 use std::fmt;
 
-/// The key by which duplicates are recognized.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct IdempotencyKey {
-    /// The index of the request's class.
-    pub class: usize,
-    /// The caller's key or, for coalescable requests, what is read.
-    pub value: String,
-}
-
-/// Distinguishes requests with the same idempotency key, such as a digest of the body. A frontend that computes none
-/// uses the same value for every request.
-pub type Fingerprint = [u8; 32];
-
-/// The idempotency key of a request is in use by an earlier request with another fingerprint.
+/// The idempotency key of a request is in use by an earlier request with other content.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KeyConflict;
 
@@ -34,13 +26,24 @@
 
 impl std::error::Error for KeyConflict {}
 
+/// The response to a duplicate.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DuplicateOutcome {
+    /// The result of the first run.
+    Result(Vec<u8>),
+    /// The duplicate fails, because there is no result that it may get.
+    WithoutResult,
+    /// The duplicate has other content than the first request with its key.
+    KeyConflict,
+}
+
 /// A duplicate that is to be responded to now.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettledDuplicate {
     /// The duplicate.
     pub request: RequestId,
-    /// The result to respond with; none if the duplicate is to fail.
-    pub result: Option<Vec<u8>>,
+    /// The response to it.
+    pub outcome: DuplicateOutcome,
 }
 
 /// The state of the first request with a key.
@@ -52,26 +55,31 @@
     WithoutResult,
 }
 
+/// A duplicate that waits for the result of the first run, or for its own content to be received.
+struct WaitingDuplicate {
+    request: RequestId,
+    content: ContentFingerprint,
+}
+
 struct Entry {
     /// The first request with this key, or the latest duplicate for which [`Deduplication::retain_key`] was called.
     request: RequestId,
-    fingerprint: Fingerprint,
+    content: ContentFingerprint,
     /// Whether the scheduler has released the request's id.
     released: bool,
     /// Until when the key is retained; none if the scheduler has not asked for it.
     retained_until: Option<Instant>,
     first_run: FirstRun,
-    /// The duplicates that wait for the result.
-    waiting: Vec<RequestId>,
+    waiting: Vec<WaitingDuplicate>,
     /// Whether the tenant has already been charged for a response to this key.
     charged: bool,
 }
 
 impl Entry {
-    fn new(request: RequestId, fingerprint: Fingerprint) -> Self {
+    fn new(request: RequestId, content: ContentFingerprint) -> Self {
         Self {
             request,
-            fingerprint,
+            content,
             released: false,
             retained_until: None,
             first_run: FirstRun::Open,
@@ -86,9 +94,40 @@
     }
 
     /// Whether the entry is no longer needed, because every duplicate that arrived while the key was retained has been
-    /// read: a request is read at most `max_receive_delay` after it arrived on this machine.
+    /// read and responded to: a request is read at most `max_receive_delay` after it arrived on this machine.
     fn is_expired(&self, now: Instant, max_receive_delay: Span) -> bool {
-        self.released && self.retained_until.is_none_or(|until| until + max_receive_delay <= now)
+        let is_past = self.retained_until.is_none_or(|until| until + max_receive_delay <= now);
+        self.released && is_past && self.waiting.is_empty()
+    }
+
+    /// How a duplicate with this content is responded to; none while the first run or the content is awaited.
+    fn outcome(&self, content: ContentFingerprint) -> Option<DuplicateOutcome> {
+        if self.content.differs_from(content) {
+            return Some(DuplicateOutcome::KeyConflict);
+        }
+        match (&self.first_run, self.content, content) {
+            (FirstRun::Open, ..) => None,
+            (FirstRun::Completed(_), ContentFingerprint::Known(_), ContentFingerprint::Pending) => None,
+            (FirstRun::Completed(result), ContentFingerprint::Known(_), ContentFingerprint::Known(_)) => {
+                Some(DuplicateOutcome::Result(result.clone()))
+            }
+            // Whether the contents are equal will never be known.
+            (FirstRun::Completed(_), ..) | (FirstRun::WithoutResult, ..) => {
+                Some(DuplicateOutcome::WithoutResult)
+            }
+        }
+    }
+
+    /// Removes and returns the waiting duplicates that can be responded to now.
+    fn take_settled(&mut self) -> Vec<SettledDuplicate> {
+        let mut settled = Vec::new();
+        for duplicate in std::mem::take(&mut self.waiting) {
+            match self.outcome(duplicate.content) {
+                Some(outcome) => settled.push(SettledDuplicate { request: duplicate.request, outcome }),
+                None => self.waiting.push(duplicate),
+            }
+        }
+        settled
     }
 }
 
@@ -116,33 +155,61 @@
     /// first with its key. `arrived_at` is when the request reached this machine, which may be long before it was read.
     ///
     /// # Errors
-    /// The key is in use by a request with another fingerprint.
+    /// The key is in use by a request with other content.
     pub fn register(
         &mut self,
         arrived_at: Instant,
-        key: &IdempotencyKey,
-        fingerprint: Fingerprint,
+        identity: &RequestIdentity,
         request: RequestId,
     ) -> Result<Duplicate, KeyConflict> {
+        let (key, content) = (identity.key(), identity.content());
         match self.entries.get(key).filter(|entry| entry.applies_to(arrived_at)) {
-            Some(entry) if entry.fingerprint != fingerprint => Err(KeyConflict),
+            Some(entry) if entry.content.differs_from(content) => Err(KeyConflict),
             Some(entry) if entry.released => Ok(Duplicate::OfReleased),
             Some(entry) => Ok(Duplicate::Of(entry.request)),
             None => {
                 self.remove(key);
-                self.entries.insert(key.clone(), Entry::new(request, fingerprint));
+                self.entries.insert(key.clone(), Entry::new(request, content));
                 Ok(Duplicate::No)
             }
         }
     }
 
     /// Retains a key for `duration` from now, and makes `request` the one that later duplicates refer to.
-    pub fn retain_key(&mut self, now: Instant, key: &IdempotencyKey, request: RequestId, duration: Span) {
-        if let Some(entry) = self.entries.get_mut(key) {
+    pub fn retain_key(
+        &mut self,
+        now: Instant,
+        identity: &RequestIdentity,
+        request: RequestId,
+        duration: Span,
+    ) {
+        if let Some(entry) = self.entries.get_mut(identity.key()) {
             entry.retained_until = Some(now + duration);
-            entry.request = request;
             entry.released = false;
+            if entry.request != request {
+                entry.request = request;
+                entry.content = identity.content();
+            }
+        }
+    }
+
+    /// Records that the content of a request has been received. Returns the duplicates that can be responded to now.
+    pub fn content_received(
+        &mut self,
+        key: &IdempotencyKey,
+        request: RequestId,
+        fingerprint: Fingerprint,
+    ) -> Vec<SettledDuplicate> {
+        let Some(entry) = self.entries.get_mut(key) else { return Vec::new() };
+        let content = ContentFingerprint::Known(fingerprint);
+        // A released id may have been assigned to a duplicate of the request that had it before.
+        if entry.request == request && !entry.released {
+            entry.content = content;
+        }
+        for duplicate in entry.waiting.iter_mut().filter(|duplicate| duplicate.request == request) {
+            duplicate.content = content;
         }
+        entry.take_settled()
     }
 
     /// Forgets a key, if `request` is the one that holds it, so that the next request with this key runs. Returns the
@@ -155,18 +222,19 @@
     }
 
     /// Makes a duplicate share the result of the first run. Returns the duplicate if it can be responded to now; otherwise
-    /// it waits until the first run ends.
-    pub fn coalesce(&mut self, key: &IdempotencyKey, request: RequestId) -> Option<SettledDuplicate> {
-        let without_result = Some(SettledDuplicate { request, result: None });
-        let Some(entry) = self.entries.get_mut(key) else { return without_result };
-        match &entry.first_run {
-            FirstRun::Open if entry.request != request => {
-                entry.waiting.push(request);
-                None
-            }
-            FirstRun::Completed(result) => Some(SettledDuplicate { request, result: Some(result.clone()) }),
-            FirstRun::Open | FirstRun::WithoutResult => without_result,
+    /// it waits until the first run has ended and its own content has been received.
+    pub fn coalesce(&mut self, identity: &RequestIdentity, request: RequestId) -> Option<SettledDuplicate> {
+        let without_result = SettledDuplicate { request, outcome: DuplicateOutcome::WithoutResult };
+        let Some(entry) = self.entries.get_mut(identity.key()) else { return Some(without_result) };
+        if entry.first_run == FirstRun::Open && entry.request == request {
+            return Some(without_result);
         }
+        let content = identity.content();
+        let outcome = entry.outcome(content);
+        if outcome.is_none() {
+            entry.waiting.push(WaitingDuplicate { request, content });
+        }
+        outcome.map(|outcome| SettledDuplicate { request, outcome })
     }
 
     /// Records that a request's run ended, and returns the duplicates that waited for it. A result that does not fit in the
@@ -182,16 +250,19 @@
         if entry.request != request || entry.first_run != FirstRun::Open {
             return Vec::new();
         }
-        entry.first_run = match result {
-            Some(result) if self.result_bytes + result.len() <= self.max_result_bytes => {
-                self.result_bytes += result.len();
-                FirstRun::Completed(result.to_vec())
-            }
-            _ => FirstRun::WithoutResult,
+        let Some(result) = result else {
+            entry.first_run = FirstRun::WithoutResult;
+            return entry.take_settled();
         };
-        let waiting = std::mem::take(&mut entry.waiting);
-        let settle = |request| SettledDuplicate { request, result: result.map(<[u8]>::to_vec) };
-        waiting.into_iter().map(settle).collect()
+        entry.first_run = FirstRun::Completed(result.to_vec());
+        let mut settled = entry.take_settled();
+        if self.result_bytes + result.len() <= self.max_result_bytes {
+            self.result_bytes += result.len();
+        } else {
+            entry.first_run = FirstRun::WithoutResult;
+            settled.extend(entry.take_settled());
+        }
+        settled
     }
 
     /// Records that the scheduler has released a request's id. Returns the duplicates that waited for its result; they fail.
@@ -204,7 +275,7 @@
         let settled = self.run_ended(key, request, None);
         let Some(entry) = self.entries.get_mut(key) else { return settled };
         // The released id may soon be assigned to another request, which must not get the response to this one.
-        entry.waiting.retain(|duplicate| *duplicate != request);
+        entry.waiting.retain(|duplicate| duplicate.request != request);
         if entry.request == request {
             entry.released = true;
             if entry.is_expired(now, self.max_receive_delay) {
@@ -238,7 +309,10 @@
         if let FirstRun::Completed(result) = &entry.first_run {
             self.result_bytes -= result.len();
         }
-        let settle = |request| SettledDuplicate { request, result: None };
+        let settle = |duplicate: WaitingDuplicate| SettledDuplicate {
+            request: duplicate.request,
+            outcome: DuplicateOutcome::WithoutResult,
+        };
         entry.waiting.into_iter().map(settle).collect()
     }
 }
--- a/crates/core/engine/src/engine.rs
+++ b/crates/core/engine/src/engine.rs
@@ -3,6 +3,7 @@
 use crate::counts::RequestCounts;
 use crate::deduplication::{Deduplication, KeyConflict};
 use crate::executor::{Executor, RunEnd};
+use crate::identity::Fingerprint;
 use crate::request::{IncomingRequest, OpenRequest, OpenRequests, Rejection, RejectionReason};
 use crate::response::{FinalResponse, Responder};
 use crate::scheduler::Scheduler;
@@ -157,7 +158,7 @@
             Some(name) => self.ids.assign(name),
             None => self.ids.assign_unnamed(),
         };
-        let Ok(duplicate) = self.register_idempotency_key(now, request, &incoming) else {
+        let Ok(duplicate) = self.register_identity(now, request, &incoming) else {
             self.ids.release(request);
             self.counts.failed += 1;
             return Err(Rejection { reply_to, reason: RejectionReason::KeyConflict });
@@ -180,7 +181,7 @@
         };
         let open = OpenRequest {
             reply_to: Some(reply_to),
-            idempotency_key: incoming.idempotency_key,
+            identity: incoming.identity,
             call_number: None,
             price_hold: price.hold(),
             executor_state,
@@ -190,18 +191,35 @@
         Ok(request)
     }
 
-    /// Registers a request under its idempotency key and returns which request it duplicates. The time that counts is when
+    /// Registers a request under its identity and returns which request it duplicates. The time that counts is when
     /// the request arrived at this machine, not when it was read: otherwise a duplicate that waited unread while its key
     /// expired would be executed again.
-    fn register_idempotency_key(
+    fn register_identity(
         &mut self,
         now: Instant,
         request: RequestId,
         incoming: &IncomingRequest,
     ) -> Result<Duplicate, KeyConflict> {
-        let Some(key) = &incoming.idempotency_key else { return Ok(Duplicate::No) };
+        let Some(identity) = &incoming.identity else { return Ok(Duplicate::No) };
         let arrived_at = now - incoming.receive_delay;
-        self.deduplication.register(arrived_at, key, incoming.fingerprint, request)
+        self.deduplication.register(arrived_at, identity, request)
+    }
+
+    /// Reports that the content of a request has been received, if it was pending when the request was submitted.
+    /// Responds to the duplicates that can be compared now. Does nothing if the request's `reply_to` does not satisfy
+    /// `is_own`, or if it has already been responded to.
+    pub fn content_received(
+        &mut self,
+        request: RequestId,
+        fingerprint: Fingerprint,
+        is_own: impl FnOnce(&ReplyTo) -> bool,
+        responder: &mut impl Responder<ReplyTo>,
+    ) {
+        let open = self.open.get_mut(request).filter(|open| open.reply_to.as_ref().is_some_and(is_own));
+        let Some(identity) = open.and_then(|open| open.identity.as_mut()) else { return };
+        identity.set_content(fingerprint);
+        let settled = self.deduplication.content_received(identity.key(), request, fingerprint);
+        self.settle_duplicates(settled, responder);
     }
 
     /// Reports that a caller has stopped waiting. Does nothing and returns false if the request's `reply_to` does not
@@ -261,9 +279,9 @@
         }
         // The duplicates of a stopped run keep waiting, because a scheduler may resume it. lynxtally's policy never resumes a
         // run, so its duplicates get their response at their own deadline.
-        if let Some(key) = open.idempotency_key.clone().filter(|_| end != RunEnd::Stopped) {
+        if let Some(identity) = open.identity.as_ref().filter(|_| end != RunEnd::Stopped) {
             let result = if let RunEnd::Completed(result) = &end { Some(&result[..]) } else { None };
-            let settled = self.deduplication.run_ended(&key, request, result);
+            let settled = self.deduplication.run_ended(identity.key(), request, result);
             self.settle_duplicates(settled, responder);
         }
         let outcome = match end {
--- a/crates/core/engine/src/executor.rs
+++ b/crates/core/engine/src/executor.rs
@@ -21,6 +21,10 @@
     fn cancel_call(&mut self, executor_state: &mut ExecutorState, number: u64);
     /// Lets a running request finish with a degraded response, without its downstream call.
     fn degrade(&mut self, _request: RequestId, _executor_state: &mut ExecutorState) {}
+    /// Receives the content of a request that will not be run, because it may be a duplicate. The driver reports the
+    /// content with [`crate::Engine::content_received`]. Only called for requests whose content was pending when they
+    /// were submitted.
+    fn receive_content(&mut self, _request: RequestId, _executor_state: &mut ExecutorState) {}
     /// Requests a measurement of the gauges, which the driver reports with [`crate::Engine::update_gauges`].
     fn request_gauges(&mut self) {}
     /// Called each time the scheduler's timer expires.
--- a/crates/core/engine/src/lib.rs
+++ b/crates/core/engine/src/lib.rs
@@ -20,7 +20,8 @@
 //! | `engine` | the state of one instance, and the methods through which a driver reports events |
 //! | `actions` | execution of the scheduler's actions; final responses and their price |
 //! | `request` | submitted requests and the table of open requests |
-//! | `deduplication` | idempotency keys and retained results |
+//! | `identity` | what a request and its duplicates have in common |
+//! | `deduplication` | recognition of duplicates, and retained results |
 //! | `wallets` | prices that are reserved and settled |
 //! | `timers` | all timers, and the maximum age of gauges |
 //! | `scheduler`, `executor`, `response` | the interfaces to the scheduler, the executor and the frontend's responses |
@@ -33,6 +34,7 @@
 mod deduplication;
 mod engine;
 mod executor;
+mod identity;
 mod request;
 mod response;
 mod scheduler;
@@ -40,9 +42,10 @@
 mod wallets;
 
 pub use counts::RequestCounts;
-pub use deduplication::{Deduplication, Fingerprint, IdempotencyKey, KeyConflict, SettledDuplicate};
+pub use deduplication::{Deduplication, DuplicateOutcome, KeyConflict, SettledDuplicate};
 pub use engine::Engine;
 pub use executor::{Executor, RunEnd};
+pub use identity::{ContentFingerprint, Fingerprint, IdempotencyKey, RequestIdentity};
 pub use request::{IncomingRequest, Rejection, RejectionReason};
 pub use response::{FinalResponse, Responder};
 pub use scheduler::Scheduler;
--- a/crates/core/engine/src/request.rs
+++ b/crates/core/engine/src/request.rs
@@ -1,6 +1,6 @@
 //! Requests as a frontend submits them, the reasons why one is not accepted, and the table of open requests.
 
-use crate::deduplication::{Fingerprint, IdempotencyKey};
+use crate::identity::RequestIdentity;
 use crate::wallets::PriceHold;
 use lynxtally::{Instant, RequestId, Span};
 
@@ -21,10 +21,8 @@
     pub deadline: Option<Instant>,
     /// Whether the request is marked as a retry.
     pub is_retry: bool,
-    /// The idempotency key by which duplicates of the request are recognized.
-    pub idempotency_key: Option<IdempotencyKey>,
-    /// Equal for duplicates; a request with the same key and another fingerprint is a conflict.
-    pub fingerprint: Fingerprint,
+    /// The identity by which duplicates of the request are recognized; none if it has no duplicates.
+    pub identity: Option<RequestIdentity>,
     /// Whether the request only reads a named resource, so that its result may be shared with other requests for it.
     pub coalescable: bool,
     /// The memory that the request takes while queued, in kilobytes.
@@ -39,7 +37,7 @@
     /// Another open request has the same name. The frontend responds that the request was rejected if it is idempotent,
     /// and otherwise that it failed: the caller may confuse it with the other request, which may be executed.
     NameInUse,
-    /// Another request with the same idempotency key has a different fingerprint. The frontend responds that the request
+    /// Another request of the tenant with the same idempotency key has other content. The frontend responds that the request
     /// failed: a caller that confuses the two must not be told that neither was executed.
     KeyConflict,
 }
@@ -57,7 +55,7 @@
 pub(crate) struct OpenRequest<ExecutorState, ReplyTo> {
     /// Where the response is awaited; none once it has been sent or the caller is gone.
     pub reply_to: Option<ReplyTo>,
-    pub idempotency_key: Option<IdempotencyKey>,
+    pub identity: Option<RequestIdentity>,
     /// The number of the downstream call in flight.
     pub call_number: Option<u64>,
     /// The price reserved in the tenant's wallet, until the request is settled.
--- a/crates/core/engine/src/response.rs
+++ b/crates/core/engine/src/response.rs
@@ -16,6 +16,9 @@
     },
     /// The request failed. It may have had an effect.
     Failed,
+    /// The request was not executed, because its idempotency key belongs to a request with other content. That one may
+    /// have had an effect.
+    KeyConflict,
 }
 
 /// Delivers final responses and reports the state of this backend to callers. Implemented by a frontend. `ReplyTo`
--- a/crates/frontends/stream/src/body_pipe.rs
+++ b/crates/frontends/stream/src/body_pipe.rs
@@ -7,7 +7,9 @@
 use crate::body_framing::{BodyDecoder, BodyEncoder};
 use crate::content_coder::ContentCoder;
 use crate::http::{Field, Framing, MessageError};
+use crate::idempotency::ContentDigest;
 use crate::output_buffer::OutputBuffer;
+use lynxtally_engine::Fingerprint;
 
 /// One direction of a proxied body.
 pub struct BodyPipe {
@@ -20,6 +22,8 @@
     pub out: OutputBuffer,
     /// A copy of the body before framing, kept for a retry. `None` if none is kept.
     replay_copy: Option<Vec<u8>>,
+    /// The digest of the body so far. `None` if none is calculated.
+    digest: Option<ContentDigest>,
     trailers: Vec<Field>,
     /// Bytes of the body received, without framing.
     received_bytes: u64,
@@ -39,6 +43,7 @@
             undecoded: Vec::new(),
             out: OutputBuffer::default(),
             replay_copy: None,
+            digest: None,
             trailers: Vec::new(),
             received_bytes: 0,
             encoded_bytes: 0,
@@ -51,6 +56,16 @@
         self.replay_copy = Some(Vec::new());
     }
 
+    /// Starts to calculate a fingerprint of the content, to which the body is added as it is received.
+    pub fn calculate_fingerprint(&mut self, digest: ContentDigest) {
+        self.digest = Some(digest);
+    }
+
+    /// Takes the fingerprint of the content, once the whole body was received. It can be taken only once.
+    pub fn take_fingerprint(&mut self) -> Option<Fingerprint> {
+        self.digest.take_if(|_| self.complete).map(ContentDigest::finish)
+    }
+
     /// The copy of the body so far, or `None` if none is kept.
     pub fn kept_copy(&self) -> Option<&[u8]> {
         self.replay_copy.as_deref()
@@ -108,11 +123,11 @@
     ///
     /// # Errors
     /// [`MessageError::InvalidLength`] if the body ends here and is shorter than its framing said.
-    pub fn record_passthrough(&mut self, count: usize) -> Result<(), MessageError> {
-        self.decoder.consume(count);
-        self.encoder.record_passthrough(count);
-        self.received_bytes += count as u64;
-        self.encoded_bytes += count as u64;
+    pub fn record_passthrough(&mut self, bytes: &[u8]) -> Result<(), MessageError> {
+        self.decoder.consume(bytes.len());
+        self.encoder.record_passthrough(bytes.len());
+        self.record_received(bytes);
+        self.encoded_bytes += bytes.len() as u64;
         self.finish_at_end()
     }
 
@@ -156,7 +171,7 @@
             }
             let taken = self.code(data, room)?;
             self.decoder.consume(taken);
-            self.received_bytes += taken as u64;
+            self.record_received(&data[..taken]);
             used += taken;
             if taken < data.len() {
                 break;
@@ -182,6 +197,13 @@
         Ok(taken)
     }
 
+    fn record_received(&mut self, data: &[u8]) {
+        self.received_bytes += data.len() as u64;
+        if let Some(digest) = &mut self.digest {
+            digest.update(data);
+        }
+    }
+
     fn encode(&mut self, data: &[u8]) {
         self.encoded_bytes += data.len() as u64;
         if let Some(copy) = &mut self.replay_copy {
--- a/crates/frontends/stream/src/http/error.rs
+++ b/crates/frontends/stream/src/http/error.rs
@@ -46,6 +46,8 @@
     UnknownUpload,
     /// The uploads of the tenant, or all uploads together, would exceed their quota.
     QuotaExceeded,
+    /// An earlier request of the tenant has the same idempotency key and other content.
+    KeyConflict,
 }
 
 impl MessageError {
@@ -58,6 +60,7 @@
             Self::BodyTooLarge | Self::ExpandsTooFar => 413,
             Self::UnsupportedCoding => 415,
             Self::UnknownExpectation => 417,
+            Self::KeyConflict => 422,
             Self::HeadTooLarge => 431,
             Self::QuotaExceeded => 507,
             _ => 400,
@@ -88,6 +91,7 @@
             Self::OffsetMismatch => "the upload has another offset",
             Self::UnknownUpload => "no upload is known by this name",
             Self::QuotaExceeded => "the storage quota for uploads is used up",
+            Self::KeyConflict => "the idempotency key belongs to another request",
         })
     }
 }
--- a/crates/frontends/stream/src/http/mod.rs
+++ b/crates/frontends/stream/src/http/mod.rs
@@ -124,6 +124,7 @@
         415 => "Unsupported Media Type",
         416 => "Range Not Satisfiable",
         417 => "Expectation Failed",
+        422 => "Unprocessable Content",
         431 => "Request Header Fields Too Large",
         500 => "Internal Server Error",
         502 => "Bad Gateway",
--- a/crates/frontends/stream/src/lib.rs
+++ b/crates/frontends/stream/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod body_pipe;
 pub mod content_coder;
 pub mod http;
+pub mod idempotency;
 pub mod output_buffer;
 pub mod proxied_request;
 pub mod proxy;
--- a/crates/frontends/stream/src/proxied_request/mod.rs
+++ b/crates/frontends/stream/src/proxied_request/mod.rs
@@ -16,7 +16,9 @@
 use crate::http::{
     ForwardedRequest, Framing, LocalResponse, MessageError, RequestHead, ResponseHead, CONTINUE_RESPONSE,
 };
+use crate::idempotency::ContentDigest;
 use crate::output_buffer::OutputBuffer;
+use lynxtally_engine::Fingerprint;
 use lynxtally_flow::coding::Coding;
 use lynxtally_flow::resume::PartialDownload;
 
@@ -40,6 +42,8 @@
     resumed_download: Option<PartialDownload>,
     /// The upstream responded with an error before it had the whole body. The rest of the body is discarded.
     is_body_refused: bool,
+    /// The body is received only to compare the request with an earlier one; nothing is forwarded.
+    is_compared: bool,
     /// The proxy sends a response of its own instead of the upstream's.
     is_local_response: bool,
     /// The client's connection ends after the response.
@@ -64,6 +68,9 @@
         if settings.keeps_body_copy {
             request_body.keep_copy();
         }
+        if settings.fingerprints_content {
+            request_body.calculate_fingerprint(ContentDigest::new(&request));
+        }
         let forwarded = forwarded_request(&request, forwarded_framing);
         request.write(request_body.out.append_to(), forwarded);
         request_body.start()?;
@@ -80,6 +87,7 @@
             response_body: None,
             resumed_download: None,
             is_body_refused: false,
+            is_compared: false,
             is_local_response: false,
             closes_connection,
             response_copy,
@@ -88,6 +96,10 @@
 
     /// Handles the admission of the request: a client that waits for `100 Continue` is told to send its body.
     pub fn on_admitted(&mut self) {
+        self.ask_for_body();
+    }
+
+    fn ask_for_body(&mut self) {
         let nothing_received = self.request_body.received_bytes() == 0;
         let expects_continue = self.request.known.expects_continue;
         if expects_continue && !self.request_body.is_complete() && nothing_received {
@@ -95,6 +107,23 @@
         }
     }
 
+    /// Starts to receive the body without forwarding anything, to compare the request with an earlier one.
+    pub fn receive_for_comparison(&mut self) {
+        if !std::mem::replace(&mut self.is_compared, true) {
+            self.ask_for_body();
+        }
+    }
+
+    /// Whether the body is received only to compare the request with an earlier one.
+    pub fn is_compared(&self) -> bool {
+        self.is_compared
+    }
+
+    /// Takes the fingerprint of the content, once the whole body was received. It can be taken only once.
+    pub fn take_fingerprint(&mut self) -> Option<Fingerprint> {
+        self.request_body.take_fingerprint()
+    }
+
     /// Whether more of the request's body is expected.
     pub fn wants_request_body(&self) -> bool {
         !self.request_body.is_complete()
@@ -113,7 +142,7 @@
     pub fn receive_request_body(&mut self, bytes: &[u8], room: usize) -> Result<usize, ProxyError> {
         let used = self.request_body.receive(bytes, room).map_err(ProxyError::Client)?;
         self.check_body_size()?;
-        if self.is_body_refused || self.is_local_response {
+        if self.is_body_refused || self.is_local_response || self.is_compared {
             // The body is read only to find its end.
             self.request_body.out.discard();
         }
@@ -133,8 +162,8 @@
     ///
     /// # Errors
     /// As for [`Self::receive_request_body`].
-    pub fn record_request_passthrough(&mut self, count: usize) -> Result<(), ProxyError> {
-        self.request_body.record_passthrough(count).map_err(ProxyError::Client)?;
+    pub fn record_request_passthrough(&mut self, bytes: &[u8]) -> Result<(), ProxyError> {
+        self.request_body.record_passthrough(bytes).map_err(ProxyError::Client)?;
         self.check_body_size()
     }
 
--- a/crates/frontends/stream/src/proxied_request/response.rs
+++ b/crates/frontends/stream/src/proxied_request/response.rs
@@ -155,9 +155,9 @@
     ///
     /// # Errors
     /// The response is shorter than its framing said.
-    pub fn record_response_passthrough(&mut self, count: usize) -> Result<(), ProxyError> {
+    pub fn record_response_passthrough(&mut self, bytes: &[u8]) -> Result<(), ProxyError> {
         let Some(body) = &mut self.response_body else { return Ok(()) };
-        body.record_passthrough(count).map_err(ProxyError::Upstream)
+        body.record_passthrough(bytes).map_err(ProxyError::Upstream)
     }
 
     /// Sends out what the content coder holds back, so that it does not wait for the upstream's next bytes.
--- a/crates/frontends/stream/src/proxied_request/settings.rs
+++ b/crates/frontends/stream/src/proxied_request/settings.rs
@@ -18,6 +18,8 @@
     pub growth_limit: GrowthLimit,
     /// Whether a copy of the request's body is kept for a retry, as long as the copy budget has room.
     pub keeps_body_copy: bool,
+    /// Whether a fingerprint of the request's content is calculated, by which it is compared with its duplicates.
+    pub fingerprints_content: bool,
     /// The longest response, in bytes, of which a copy is kept to answer duplicates of the request; 0 keeps
     /// none.
     pub max_response_copy_bytes: usize,
--- a/crates/frontends/stream/src/proxy/client_connection.rs
+++ b/crates/frontends/stream/src/proxy/client_connection.rs
@@ -5,9 +5,10 @@
 use crate::http::{
     BodyUse, ConnectionUse, Framing, LocalResponse, MessageError, ParsedHead, RequestHead, MAX_HEAD_BYTES,
 };
+use crate::idempotency::request_identity;
 use crate::proxied_request::ProxiedRequest;
 use crate::request_manager::{RequestHandle, RequestInfo};
-use lynxtally_engine::Scheduler;
+use lynxtally_engine::{ContentFingerprint, Scheduler};
 use lynxtally_net::close_reason::CloseReason;
 use lynxtally_net::connection_table::Inserted;
 use lynxtally_net::coroutine::{spawn, Panic};
@@ -193,15 +194,15 @@
             _ => None,
         };
         let tenant = self.settings.tenant(&request);
-        let idempotency_key = request.known.idempotency_key.clone();
         let accepted = self.settings.class(&request).and_then(|class| {
             let class_settings = &self.settings.classes[class];
-            if class_settings.effect == lynxtally::Effect::Deduplicated && idempotency_key.is_none() {
+            let identity = request_identity(&self.settings, class, &request, ContentFingerprint::Pending);
+            if class_settings.effect == lynxtally::Effect::Deduplicated && identity.is_none() {
                 return Err(MessageError::InvalidField("Idempotency-Key"));
             }
-            Ok((class, ProxiedRequest::new(request, class_settings.forwarding.clone())?))
+            Ok((class, identity, ProxiedRequest::new(request, class_settings.forwarding.clone())?))
         });
-        let (class, proxied) = match accepted {
+        let (class, identity, proxied) = match accepted {
             Ok(accepted) => accepted,
             Err(error) => {
                 lock(&self.manager).resources.counts.invalid_messages += 1;
@@ -209,7 +210,7 @@
             }
         };
         let handle = Arc::new(RequestHandle::new(class, socket.waker()));
-        let info = RequestInfo { tenant, idempotency_key, announced_bytes, caller: caller_number(from) };
+        let info = RequestInfo { tenant, identity, announced_bytes, caller: caller_number(from) };
         if !self.with_manager(|manager, now| manager.submit(now, &handle, info)) {
             return AfterRequest::Close(self.close_with(socket, &LocalResponse::new(503, "not taken")));
         }
--- a/crates/frontends/stream/src/proxy/exchange.rs
+++ b/crates/frontends/stream/src/proxy/exchange.rs
@@ -2,7 +2,7 @@
 //! state, and either of them transfers bytes in both directions.
 
 use super::{AfterRequest, Proxy};
-use crate::http::LocalResponse;
+use crate::http::{LocalResponse, MessageError};
 use crate::proxied_request::{ProxiedRequest, ProxyError};
 use crate::request_manager::{RequestHandle, TransferAllowance, TransferReport};
 use crate::upload_archive::{PendingOperation, UploadArchive};
@@ -151,6 +151,9 @@
                 lock(&exchange.state).proxied.on_admitted();
                 self.spawn_upstream_side(&exchange, announced_bytes);
             }
+            if handle.is_compared() {
+                lock(&exchange.state).proxied.receive_for_comparison();
+            }
             self.take_final_response(&exchange);
             match self.transfer(&exchange) {
                 Transfer::Over => {
@@ -211,11 +214,12 @@
         }
         drop(state);
         self.with_manager(|manager, now| match outcome {
-            Outcome::Completed if handle.is_admitted() => {
+            // The request never ran. If its response was the proxy's own, the scheduler still waits for it.
+            _ if !handle.is_admitted() => manager.client_gone(now, handle),
+            Outcome::Completed => {
                 manager.release_upstream(now, handle, succeeded);
                 manager.end_request(now, handle, RunEnd::Completed(copy.unwrap_or_default()));
             }
-            Outcome::Completed => {}
             Outcome::Cut => {
                 manager.resources.counts.cut_responses += 1;
                 manager.release_upstream(now, handle, None);
@@ -238,9 +242,14 @@
         }
         let local = match response {
             FinalResponse::Completed(bytes) if !bytes.is_empty() => {
+                lock(&self.manager).resources.counts.replayed += 1;
                 state.proxied.replay_response(&bytes);
                 return;
             }
+            FinalResponse::KeyConflict => {
+                lock(&self.manager).resources.counts.key_conflicts += 1;
+                LocalResponse::from_error(MessageError::KeyConflict)
+            }
             FinalResponse::Rejected { retry_after, .. } => {
                 let seconds = (retry_after.secs().ceil() as u64).max(1);
                 LocalResponse {
@@ -322,7 +331,8 @@
         if state.outcome.is_some() {
             return Transfer::Over;
         }
-        if !exchange.handle.is_admitted() && !state.proxied.has_response_begun() {
+        let may_transfer = exchange.handle.is_admitted() || state.proxied.is_compared();
+        if !may_transfer && !state.proxied.has_response_begun() {
             if exchange.client.is_broken() {
                 state.outcome = Some(Outcome::ClientGone(CloseReason::Reset));
                 return Transfer::Over;
@@ -354,9 +364,13 @@
                 state.proxied.request_body.drop_copy();
             }
         }
+        let fingerprint = state.proxied.take_fingerprint();
+        if let Some(fingerprint) = fingerprint {
+            manager.content_received(&exchange.handle, fingerprint);
+        }
         drop(manager);
-        if report.needs_link_turn {
-            // Lets the manager grant the request its turn on the link.
+        if report.needs_link_turn || fingerprint.is_some() {
+            // Lets the manager grant the request its turn on the link, or respond to duplicates.
             self.run_manager();
         }
         if state.outcome.is_some() {
--- a/crates/frontends/stream/src/proxy/request_direction.rs
+++ b/crates/frontends/stream/src/proxy/request_direction.rs
@@ -1,7 +1,7 @@
 //! The request direction of an exchange: from the client, or the upload archive, to the upstream.
 
 use super::exchange::{Exchange, ExchangeState, Outcome};
-use super::{Proxy, FRAMING_BYTES, MAX_PIPELINED_BYTES};
+use super::{Proxy, FRAMING_BYTES, MAX_PIPELINED_BYTES, SCRATCH_BYTES};
 use crate::request_manager::{TransferAllowance, TransferReport};
 use crate::upload_archive::PendingOperation;
 use lynxtally_engine::Scheduler;
@@ -30,7 +30,7 @@
         // the whole body, so nothing is discarded.
         let takes_no_more =
             state.upstream_write_closed && (state.sent_bytes > 0 || state.proxied.has_response_begun());
-        let drops_body = takes_no_more || state.proxied.is_body_refused();
+        let drops_body = takes_no_more || state.proxied.is_body_refused() || state.proxied.is_compared();
         if drops_body {
             state.proxied.request_body.out.discard();
         }
@@ -94,7 +94,7 @@
         };
         state.record_sent(written);
         report.written_to_upstream += written as u64;
-        if let Err(error) = state.proxied.record_request_passthrough(written) {
+        if let Err(error) = state.proxied.record_request_passthrough(&bytes[..written]) {
             self.handle_error(state, error);
         }
         written
@@ -188,6 +188,10 @@
     if state.proxied.is_body_refused() {
         return MAX_PIPELINED_BYTES;
     }
+    if state.proxied.is_compared() {
+        // Once there is a response, the comparison no longer matters.
+        return if state.proxied.has_response_begun() { 0 } else { SCRATCH_BYTES };
+    }
     let buffered = state.proxied.request_body.buffered_bytes();
     allowance.upstream_window.saturating_sub(buffered + FRAMING_BYTES) as usize
 }
--- a/crates/frontends/stream/src/proxy/response_direction.rs
+++ b/crates/frontends/stream/src/proxy/response_direction.rs
@@ -88,7 +88,7 @@
         }
         let written = exchange.client.write(&bytes[..allowed])?;
         report.written_to_client += written as u64;
-        if let Err(error) = state.proxied.record_response_passthrough(written) {
+        if let Err(error) = state.proxied.record_response_passthrough(&bytes[..written]) {
             self.handle_error(state, error);
         }
         Ok(written)
--- a/crates/frontends/stream/src/request_manager.rs
+++ b/crates/frontends/stream/src/request_manager.rs
@@ -7,8 +7,8 @@
 use crate::settings::{ClassSettings, StreamSettings};
 use lynxtally::{CallOutcome, Effect, Gauges, Instant, RequestId, Span};
 use lynxtally_engine::{
-    Engine, Executor, FinalResponse, IdempotencyKey, IncomingRequest, RequestCounts, Responder, RunEnd,
-    Scheduler,
+    Engine, Executor, FinalResponse, Fingerprint, IncomingRequest, RequestCounts, RequestIdentity, Responder,
+    RunEnd, Scheduler,
 };
 use lynxtally_flow::{
     AttemptState, CopyBudget, LinkScheduler, MemoryPool, ProgressMonitor, RetryPolicy, SizeEstimator,
@@ -34,6 +34,8 @@
 pub struct ManagerMessages {
     /// The request was admitted.
     pub admitted: bool,
+    /// The request is not run. Its body is received to compare the request with an earlier one.
+    pub is_compared: bool,
     /// The final response, if it is not the upstream's.
     pub response: Option<FinalResponse>,
 }
@@ -75,6 +77,11 @@
         lock(&self.messages).admitted
     }
 
+    /// Whether the request's body is received only to compare the request with an earlier one.
+    pub fn is_compared(&self) -> bool {
+        lock(&self.messages).is_compared
+    }
+
     /// Takes the final response, if there is one that is not the upstream's.
     pub fn take_response(&self) -> Option<FinalResponse> {
         lock(&self.messages).response.take()
@@ -175,6 +182,10 @@
     pub cut_responses: u64,
     /// Messages from clients that were refused as invalid.
     pub invalid_messages: u64,
+    /// Duplicates that got the response to an earlier request.
+    pub replayed: u64,
+    /// Requests that were refused because their idempotency key belongs to another request.
+    pub key_conflicts: u64,
     /// The most bytes that all streams have held at one time.
     pub max_held_bytes: u64,
 }
@@ -296,6 +307,11 @@
         self.cancelled_calls.push((handle.id(), number));
     }
 
+    fn receive_content(&mut self, _: RequestId, handle: &mut Arc<RequestHandle>) {
+        lock(&handle.messages).is_compared = true;
+        handle.wake_client();
+    }
+
     fn request_gauges(&mut self) {
         self.gauges_requested = true;
     }
@@ -353,8 +369,8 @@
 pub struct RequestInfo {
     /// The index of the tenant.
     pub tenant: Option<usize>,
-    /// The key by which duplicates of the request are recognized.
-    pub idempotency_key: Option<String>,
+    /// The identity by which duplicates of the request are recognized; none if it has no duplicates.
+    pub identity: Option<RequestIdentity>,
     /// The length of the body that the head announces, in bytes.
     pub announced_bytes: Option<u64>,
     /// A number for the client's machine.
@@ -538,13 +554,12 @@
     pub fn submit(&mut self, now: Instant, handle: &Arc<RequestHandle>, info: RequestInfo) -> bool {
         let expected_bytes = self.resources.sizes.expected_bytes(handle.class, info.announced_bytes);
         let floors_kb = 2.0 * self.resources.floor_bytes() as f64 / 1024.0;
-        let key = info.idempotency_key.filter(|_| self.effect(handle) == Effect::Deduplicated);
         let request = IncomingRequest {
             class: handle.class,
             tenant: info.tenant,
             caller: info.caller,
             expected_work: Some(self.resources.expected_work(expected_bytes)),
-            idempotency_key: key.map(|value| IdempotencyKey { class: handle.class, value }),
+            identity: info.identity,
             memory_kb: floors_kb,
             ..IncomingRequest::default()
         };
@@ -557,6 +572,12 @@
         }
     }
 
+    /// Records that the whole content of a request was received.
+    pub fn content_received(&mut self, handle: &Arc<RequestHandle>, fingerprint: Fingerprint) {
+        let is_own = |other: &Arc<RequestHandle>| Arc::ptr_eq(other, handle);
+        self.engine.content_received(handle.id(), fingerprint, is_own, &mut self.responses);
+    }
+
     /// The effect of executing a request twice, as its class says.
     pub fn effect(&self, handle: &RequestHandle) -> Effect {
         self.resources.classes.get(handle.class).map_or(Effect::Idempotent, |class| class.effect)
@@ -739,6 +760,7 @@
             "adds_up": requests.is_consistent(),
             "repeated": streams.retried, "resumed": streams.resumed, "left_out": streams.ejected_upstreams,
             "late": streams.late, "cut": streams.cut_responses, "bad": streams.invalid_messages,
+            "replayed": streams.replayed, "key_conflicts": streams.key_conflicts,
             "octets_up": streams.bytes_to_upstreams, "octets_down": streams.bytes_to_clients,
             "held": self.resources.memory.held_bytes(), "held_most": streams.max_held_bytes,
             "scarce_link": self.is_link_scarce,
--- a/crates/frontends/stream/src/resumable_upload.rs
+++ b/crates/frontends/stream/src/resumable_upload.rs
@@ -5,11 +5,12 @@
 use crate::body_pipe::BodyPipe;
 use crate::content_coder::ContentCoder;
 use crate::http::{BodyUse, ConnectionUse, Framing, LocalResponse, MessageError, RequestHead, UploadState};
+use crate::idempotency::request_identity;
 use crate::proxied_request::ProxiedRequest;
 use crate::proxy::{caller_number, AfterRequest, ArchivedBody, Proxy};
 use crate::request_manager::{RequestHandle, RequestInfo, TransferReport};
 use crate::upload_archive::{unix_seconds, ArchiveError, OperationResult, PendingOperation, UploadArchive};
-use lynxtally_engine::{FinalResponse, RunEnd, Scheduler};
+use lynxtally_engine::{ContentFingerprint, FinalResponse, RunEnd, Scheduler};
 use lynxtally_flow::uploads::{Upload, UploadError, UploadId};
 use lynxtally_net::close_reason::CloseReason;
 use lynxtally_net::socket::{ReadOutcome, Socket};
@@ -147,13 +148,13 @@
         };
         let handle = Arc::new(RequestHandle::new(class, socket.waker()));
         let tenant = self.settings.tenant(&request);
-        let idempotency_key = request.known.idempotency_key.clone().or_else(|| upload_id.map(upload_path));
-        let info = RequestInfo {
-            tenant,
-            idempotency_key: idempotency_key.filter(|_| upload_id.is_none()),
-            announced_bytes,
-            caller: caller_number(from),
+        // What creates an upload may be only the first part of its content, so it is not compared with other requests.
+        // The content of the whole upload is known once it is forwarded.
+        let identity = match upload_id {
+            None => request_identity(&self.settings, class, &request, ContentFingerprint::Unavailable),
+            Some(_) => None,
         };
+        let info = RequestInfo { tenant, identity, announced_bytes, caller: caller_number(from) };
         if !self.with_manager(|manager, now| manager.submit(now, &handle, info)) {
             return self.respond(socket, &request, &LocalResponse::new(503, "not taken"), has_no_body);
         }
--- a/crates/frontends/stream/src/settings.rs
+++ b/crates/frontends/stream/src/settings.rs
@@ -567,6 +567,7 @@
                     always_allowed_bytes: file.coding.slack_kb << 10,
                 },
                 keeps_body_copy: effect == Effect::Idempotent && file.limits.spool_each_kb > 0,
+                fingerprints_content: effect == Effect::Deduplicated,
                 max_response_copy_bytes: if effect == Effect::Deduplicated {
                     MAX_RESPONSE_COPY_BYTES
                 } else {
@@ -613,7 +614,12 @@
     /// The index of the tenant of a request. A tenant that is not in the settings has no quota of its own:
     /// its requests are treated as requests without a tenant.
     pub fn tenant(&self, request: &RequestHead) -> Option<usize> {
-        let name = request.field(self.tenant_field.as_deref()?)?;
+        let name = self.tenant_name(request)?;
         self.tenants.iter().position(|tenant| tenant.as_bytes() == name)
     }
+
+    /// The name of the tenant as a request gives it, whether or not the settings list the tenant.
+    pub fn tenant_name<'a>(&self, request: &'a RequestHead) -> Option<&'a [u8]> {
+        request.field(self.tenant_field.as_deref()?)
+    }
 }
--- a/crates/frontends/stream/tests/codec.rs
+++ b/crates/frontends/stream/tests/codec.rs
@@ -96,6 +96,7 @@
         min_encoded_bytes: None,
         growth_limit: GrowthLimit { max_ratio: 100.0, always_allowed_bytes: 1 << 20 },
         keeps_body_copy: true,
+        fingerprints_content: false,
         max_response_copy_bytes: 0,
     }
 }
--- a/crates/frontends/stream/tests/uploads.rs
+++ b/crates/frontends/stream/tests/uploads.rs
@@ -39,6 +39,8 @@
              "effect": "restartable", "resumable": true},
             {"name": "once", "paths": ["/break"], "utility": 4.0, "due_ms": 20_000, "limit_ms": 40_000,
              "effect": "side-effecting", "resumable": true},
+            {"name": "mark", "paths": ["/mark"], "utility": 4.0, "due_ms": 20_000, "limit_ms": 40_000,
+             "effect": "fingerprinted", "resumable": true},
         ],
     })
 }
@@ -299,3 +301,37 @@
     assert_others_are_served(&server);
     server.shut_down();
 }
+
+/// The content of an upload is known only once it is forwarded. Requests with the key that created it are compared with
+/// the whole upload, not with the request that created it.
+#[test]
+fn a_key_that_created_an_upload_is_compared_with_the_whole_upload() {
+    let directory = TestDirectory::new("keyed");
+    let server = TestServer::start(1, overrides(&directory, json!({})));
+    let body = object_bytes(0, 20_000);
+    let key = "X-Org: a\r\nIdempotency-Key: \"k\"\r\n";
+    let mut creating = server.client();
+    let head = format!(
+        "PUT /mark HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\nUpload-Complete: ?0\r\nUpload-Length: 20000\r\n{key}\r\n"
+    );
+    creating.send(&[head.as_bytes(), &body[..5000]].concat()).expect("sent");
+    let (status, fields) = creating.read_head().expect("an interim response");
+    assert_eq!(status, 104, "{fields:?}");
+    assert_eq!(creating.read_response("PUT").status, 201);
+    let first = append(&server, &fields["location"], 5000, 1, &body[5000..]);
+    assert_eq!((first.status, &first.body[..]), (200, &b"20000 true\n"[..]));
+    for content in [&body[..], &body[..5000]] {
+        let got = server.client().put("/mark", key, content).expect("sent");
+        assert_ne!(got.status, 200, "the run that ended with the first part has no content to compare");
+    }
+    assert_eq!(server.upstreams[0].received_requests().len(), 1);
+    // An upload that arrives with one request is forwarded by the run of that request.
+    let key = "X-Org: b\r\nIdempotency-Key: \"k\"\r\n";
+    let first = server.client().put("/mark", &format!("Upload-Complete: ?1\r\n{key}"), &body).expect("sent");
+    assert_eq!((first.status, &first.body[..]), (200, &b"20000 true\n"[..]));
+    let again = server.client().put("/mark", key, &body).expect("sent");
+    assert_eq!((again.status, again.body), (200, first.body));
+    assert_eq!(server.client().put("/mark", key, &body[..5000]).expect("sent").status, 422);
+    assert_eq!(server.upstreams[0].received_requests().len(), 2);
+    server.shut_down();
+}
--- a/crates/lynxtally-node/src/event_loop/requests.rs
+++ b/crates/lynxtally-node/src/event_loop/requests.rs
@@ -3,10 +3,10 @@
 use super::executor::RequestWork;
 use super::EventLoop;
 use crate::http::ReceivedRequest;
-use crate::idempotency::{request_identity, RequestIdentity};
+use crate::idempotency::request_identity;
 use crate::messages::{ConnectionCommand, ConnectionHandle, RequestRead};
 use lynxtally::{Effect, Instant, Span};
-use lynxtally_engine::{FinalResponse, IncomingRequest, Rejection, RejectionReason};
+use lynxtally_engine::{FinalResponse, IncomingRequest, Rejection, RejectionReason, RequestIdentity};
 use lynxtally_net::close_reason::CloseReason;
 use std::sync::Arc;
 use tracing::{debug, warn};
@@ -92,7 +92,11 @@
 }
 
 /// Converts a request to the form that the engine takes.
-fn incoming_request(now: Instant, request: &ReceivedRequest, identity: RequestIdentity) -> IncomingRequest {
+fn incoming_request(
+    now: Instant,
+    request: &ReceivedRequest,
+    identity: Option<RequestIdentity>,
+) -> IncomingRequest {
     IncomingRequest {
         class: request.class,
         tenant: request.tenant,
@@ -101,8 +105,7 @@
         deadline: request.deadline_ms.map(|deadline| Instant::from_micros(deadline * 1000)),
         is_retry: request.is_retry,
         receive_delay: now - Instant::from_micros(request.arrived_ms.saturating_mul(1000)),
-        idempotency_key: identity.key,
-        fingerprint: identity.fingerprint,
+        identity,
         coalescable: request.subject.is_some(),
         memory_kb: request.memory_kb,
     }
--- a/crates/lynxtally-node/src/idempotency.rs
+++ b/crates/lynxtally-node/src/idempotency.rs
@@ -1,20 +1,11 @@
-//! Derives the idempotency key and the fingerprint by which the engine recognizes duplicate requests.
+//! Derives the identity by which the engine recognizes duplicate requests.
 
 use crate::http::ReceivedRequest;
 use lynxtally::{Effect, Span};
-use lynxtally_engine::{Fingerprint, IdempotencyKey};
+use lynxtally_engine::{ContentFingerprint, RequestIdentity};
 use sha2::{Digest, Sha256};
 
-/// The identity that a request shares with its duplicates. A request without a key has no duplicates.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct RequestIdentity {
-    /// The key under which the result is retained.
-    pub key: Option<IdempotencyKey>,
-    /// The fingerprint that another request with the same key must have to be a duplicate.
-    pub fingerprint: Fingerprint,
-}
-
-/// Returns the identity of a request whose class has this effect.
+/// Returns the identity of a request whose class has this effect. A request without one has no duplicates.
 ///
 /// A deduplicated request is identified by its tenant, its client's idempotency key and its body. Without the tenant
 /// and the body, a client that copies the key of another client would get the result of the other client's request.
@@ -24,21 +15,18 @@
     request: &ReceivedRequest,
     effect: Effect,
     coalescing_window: Span,
-) -> RequestIdentity {
+) -> Option<RequestIdentity> {
     match effect {
         Effect::Idempotent if coalescing_window > Span::ZERO => {
-            let subject = request.subject.clone();
-            let key = subject.map(|value| IdempotencyKey { class: request.class, value });
-            RequestIdentity { key, ..RequestIdentity::default() }
+            Some(RequestIdentity::of_shared_read(request.class, request.subject.as_ref()?))
         }
         Effect::Deduplicated => {
-            let tenant = request.tenant.map_or_else(String::new, |tenant| tenant.to_string());
-            let scoped_key = |key| IdempotencyKey { class: request.class, value: format!("{tenant}/{key}") };
-            RequestIdentity {
-                key: request.idempotency_key.as_ref().map(scoped_key),
-                fingerprint: Sha256::digest(&request.body).into(),
-            }
+            let client_key = request.idempotency_key.as_ref()?;
+            let tenant = request.tenant.map(|tenant| tenant.to_string());
+            let content = ContentFingerprint::Known(Sha256::digest(&request.body).into());
+            let tenant = tenant.as_ref().map(String::as_bytes);
+            Some(RequestIdentity::of_client_key(request.class, tenant, client_key, content))
         }
-        Effect::Idempotent | Effect::NonIdempotent => RequestIdentity::default(),
+        Effect::Idempotent | Effect::NonIdempotent => None,
     }
 }
--- a/crates/testing/simulator/src/world/nodes.rs
+++ b/crates/testing/simulator/src/world/nodes.rs
@@ -182,7 +182,7 @@
         let reply = match response {
             FinalResponse::Completed(_) => Reply::Completed,
             FinalResponse::Rejected { no_retry, .. } => Reply::Rejected { no_retry },
-            FinalResponse::Failed => Reply::Failed,
+            FinalResponse::Failed | FinalResponse::KeyConflict => Reply::Failed,
         };
         if self.nodes[usize::from(n)].drops_outgoing {
             return;
