--- a/crates/core/coordination/tests/leases.rs
+++ b/crates/core/coordination/tests/leases.rs
@@ -124,6 +124,21 @@
     assert_eq!(log.free(), 30);
 }
 
+/// Guards against an operator who is told that a change was applied, although it was another change with the same key. The
+/// record of recent requests holds no action to compare with; adding one changes the replicated state.
+#[test]
+fn an_admin_request_with_a_recorded_key_and_another_action_is_not_reported_as_applied() {
+    let mut log = Log::new(terms(10));
+    let set_capacity = |capacity| AdminRequest {
+        key: IdempotencyKey { observed_index: 1, token: "w".into() },
+        action: AdminAction::SetBudget { name: "calls".into(), terms: terms(capacity) },
+    };
+    log.write(Command::Admin(set_capacity(20)));
+    let output = log.write(Command::Admin(set_capacity(30)));
+    assert_eq!(log.free(), 20, "the first request keeps the key");
+    assert!(matches!(output, Output::Admin(AdminResponse::Rejected(_))), "{output:?}");
+}
+
 #[test]
 fn a_reduced_capacity_comes_into_force_as_leases_end() {
     let mut log = Log::new(terms(10));
