--- a/crates/core/zones/src/update.rs
+++ b/crates/core/zones/src/update.rs
@@ -205,6 +205,14 @@
         }
     }
 
+    /// The records that the update adds, including those that may exist already.
+    pub fn added_records(&self) -> impl Iterator<Item = &Record> + Clone {
+        self.operations.iter().filter_map(|operation| match operation {
+            UpdateOperation::AddRecord(record) => Some(record),
+            _ => None,
+        })
+    }
+
     /// Checks all prerequisites (RFC 2136 section 3.2.5).
     pub fn check_prerequisites(&self, zone: &Zone) -> Result<(), UpdateError> {
         for prerequisite in &self.prerequisites {
@@ -268,7 +276,8 @@
     Some((next, change))
 }
 
-fn apply(zone: &mut Zone, operation: &UpdateOperation) {
+/// Applies one operation of an accepted update.
+pub(crate) fn apply(zone: &mut Zone, operation: &UpdateOperation) {
     match operation {
         UpdateOperation::AddRecord(record) if record.kind == RecordType::SOA => {
             let newer = Soa::parse(&record.data).is_some_and(|soa| soa.serial.newer_than(zone.serial()));
--- a/crates/core/zones/src/zone_store/mod.rs
+++ b/crates/core/zones/src/zone_store/mod.rs
@@ -5,9 +5,11 @@
 //! A zone has a *base*, which is the zone file as last read, and a *version in force*, which is the base with all
 //! durable changes applied. A reload applies the same changes to the new base.
 
+mod confirmed;
 mod known_updates;
 mod log_entry;
 mod reload;
+mod reload_window;
 
 pub use log_entry::{
     decode, decode_base, encode, encode_base, LeasedRecord, Snapshot, UpdateId, ZoneLogEntry, ZoneLogError,
@@ -23,9 +25,11 @@
 use crate::serial::Serial;
 use crate::update::{Grant, Update, UpdateError, UpdateOperation};
 use crate::zone::Zone;
+use confirmed::{has_record, update_entry, ConfirmedRecords};
 use known_updates::KnownUpdates;
 use lynxtally::{Instant, Span};
-use std::collections::VecDeque;
+use reload_window::ReloadWindow;
+use std::collections::{BTreeSet, VecDeque};
 use std::fmt;
 use std::sync::Arc;
 
@@ -106,6 +110,10 @@
     history: ChangeHistory,
     known_updates: KnownUpdates,
     leases: LeaseTable,
+    /// The records of the base that accepted updates added too; a new base must not drop them.
+    confirmed: ConfirmedRecords,
+    /// The updates accepted while a new base is prepared.
+    reload_window: ReloadWindow,
     frozen: Option<FreezeReason>,
     /// The change that a reload or a transfer made, until its log entry is appended.
     reload_change: Option<Arc<Change>>,
@@ -117,6 +125,8 @@
         Self {
             latest: base.clone(),
             current: Arc::new(base.clone()),
+            confirmed: ConfirmedRecords::new(base.apex()),
+            reload_window: ReloadWindow::default(),
             base,
             base_file,
             pending: VecDeque::new(),
@@ -138,7 +148,9 @@
     ) -> Result<Self, ChangeError> {
         let latest =
             if snapshot.overlay.is_empty() { base.clone() } else { snapshot.overlay.apply(&base)? };
+        let confirmed = ConfirmedRecords::from_overlay(base.apex(), &snapshot.overlay);
         let mut store = Self::new(base, snapshot.base, limits);
+        store.confirmed = confirmed;
         store.latest = latest;
         store.current = Arc::new(store.latest.clone());
         snapshot.history.into_iter().for_each(|change| store.history.push(Arc::new(change)));
@@ -165,19 +177,28 @@
                     self.known_updates.add(now, update_id, Ok(change.to), &self.limits);
                 }
                 let span = (lease > 0).then(|| Span::from_secs(f64::from(lease)));
-                self.renew_leases(now, change.deleted_records(), change.new_records(), span);
-                kept.iter().for_each(|(name, kind, data)| self.leases.release(name, *kind, data));
+                let next = change.apply(&self.latest)?;
+                let kept = kept_records(kept, &next);
+                let added: Vec<Record> = change.new_records().chain(&kept).cloned().collect();
+                self.renew_leases(now, change.deleted_records(), added.iter(), span);
+                self.latest = next;
+                self.record_confirmations(&change, added.iter());
                 change
             }
             ZoneLogEntry::Kept(records) => {
-                records.iter().for_each(|(name, kind, data)| self.leases.release(name, *kind, data));
+                let kept = kept_records(records, &self.latest);
+                self.renew_leases(now, std::iter::empty(), kept.iter(), None);
+                self.record_confirmations(&Change::default(), kept.iter());
                 return Ok(());
             }
             ZoneLogEntry::Based { base: file, serial, since } => {
                 let new = base(&file).ok_or_else(|| ZoneLogError::MissingBase(file.clone()))?;
                 let prepared_from = since.reversed().apply(&self.latest)?;
-                let input = ReloadInput { base: self.base.clone(), latest: prepared_from };
+                let overlay = diff(&self.base, &self.latest);
+                let confirmed = self.confirmed.for_new_base(&overlay, &new);
+                let input = ReloadInput { latest: prepared_from, ..self.reload_input() };
                 self.install_base(file, input.merge(new), since, serial, &mut Vec::new());
+                self.confirmed = confirmed;
                 self.reload_change.take().into_iter().for_each(|change| self.history.push(change));
                 self.current = Arc::new(self.latest.clone());
                 return Ok(());
@@ -188,23 +209,27 @@
                 self.base = new.clone();
                 self.base_file = file;
                 self.latest = new;
+                self.confirmed = ConfirmedRecords::new(self.base.apex());
                 self.current = Arc::new(self.latest.clone());
                 return Ok(());
             }
         };
-        self.latest = change.apply(&self.latest)?;
         self.current = Arc::new(self.latest.clone());
-        self.history.push(Arc::new(change));
+        if !change.is_empty() {
+            self.history.push(Arc::new(change));
+        }
         Ok(())
     }
 
     /// Returns the state for a snapshot. Changes of records that are not durable yet are not part of it.
     pub fn snapshot(&self) -> Snapshot {
         let secs = |span: Span| span.secs().round() as u32;
+        let mut overlay = diff(&self.base, &self.current);
+        self.confirmed.mark_in_overlay(&mut overlay, &self.current);
         Snapshot {
             form: FORMAT_VERSION,
             base: self.base_file.clone(),
-            overlay: diff(&self.base, &self.current),
+            overlay,
             history: self.history.all().map(|change| (**change).clone()).collect(),
             known_updates: self.known_updates.all().collect(),
             leases: self
@@ -306,31 +331,66 @@
         });
         let (result, entry) = match evaluated {
             Err(refusal) => (Err(refusal), None),
-            Ok(None) => {
-                let kept = self.made_permanent(update, lease);
-                (Ok(self.latest.serial()), (!kept.is_empty()).then_some(ZoneLogEntry::Kept(kept)))
-            }
-            Ok(Some((next, change))) => {
-                let kept = self.made_permanent(update, lease);
-                self.latest = next;
-                let secs = lease.map_or(0, |span| span.secs().round() as u32);
-                (Ok(change.to), Some(ZoneLogEntry::Changed { change, update_id, lease: secs, kept }))
+            Ok(next) => {
+                let (serial, entry) = self.accept(now, update, next, update_id, lease);
+                (Ok(serial), entry)
             }
         };
-        if result.is_ok() {
-            let added = update.operations.iter().filter_map(|operation| match operation {
-                UpdateOperation::AddRecord(record) => Some(record),
-                _ => None,
-            });
-            let change = entry.as_ref().and_then(ZoneLogEntry::change);
-            self.renew_leases(now, change.into_iter().flat_map(Change::deleted_records), added, lease);
-        }
         if let Some(update_id) = update_id.filter(|_| result != Err(UpdateError::Frozen)) {
             self.known_updates.add(now, update_id, result, &self.limits);
         }
         UpdateOutcome { result, entry, lease, duplicate: false }
     }
 
+    /// Applies an evaluated update: `next` is the version and the change that it makes, if any. Returns the serial of the
+    /// version that contains the update, and the log entry.
+    fn accept(
+        &mut self,
+        now: Instant,
+        update: &Update,
+        next: Option<(Zone, Change)>,
+        update_id: Option<UpdateId>,
+        lease: Option<Span>,
+    ) -> (Serial, Option<ZoneLogEntry>) {
+        let serial = self.latest.serial();
+        let mut change = Change { from: serial, to: serial, ..Change::default() };
+        if let Some((zone, made)) = next {
+            self.latest = zone;
+            change = made;
+        }
+        let added = update.added_records();
+        let mut kept = self.made_permanent(update, lease);
+        self.renew_leases(now, change.deleted_records(), added.clone(), lease);
+        let in_change: BTreeSet<_> = change.new_records().map(Record::key).collect();
+        let confirmed = self.record_confirmations(&change, added);
+        let known = confirmed.into_iter().filter(|record| !in_change.contains(&record.key()));
+        kept.extend(known.map(|record| (record.name, record.kind, record.data)));
+        kept.sort();
+        kept.dedup();
+        drop(in_change);
+        self.reload_window.record(&update.operations);
+        let lease_secs = lease.map_or(0, |span| span.secs().round() as u32);
+        (change.to, update_entry(change, update_id, lease_secs, kept))
+    }
+
+    /// Updates the confirmed records after an accepted change. `added` are the records that it added, including those
+    /// that existed already. Returns the records that were not confirmed before.
+    fn record_confirmations<'a>(
+        &mut self,
+        change: &Change,
+        added: impl Iterator<Item = &'a Record>,
+    ) -> Vec<Record> {
+        change.deleted_records().for_each(|record| self.confirmed.remove(record));
+        let mut new = Vec::new();
+        for record in added {
+            let is_known = has_record(&self.base, record) && has_record(&self.latest, record);
+            if is_known && self.confirmed.insert(record) {
+                new.push(record.clone());
+            }
+        }
+        new
+    }
+
     /// The leased records that an update without a lease adds again. They lose their lease and become permanent.
     fn made_permanent(&self, update: &Update, lease: Option<Span>) -> Vec<LeasedRecord> {
         let of = |operation: &UpdateOperation| match operation {
@@ -381,8 +441,8 @@
     /// Called after an entry was appended to the log. Its version comes into force once all entries below `up_to`
     /// are durable.
     pub fn entry_appended(&mut self, up_to: u64, entry: &ZoneLogEntry) {
-        let change =
-            self.reload_change.take().or_else(|| entry.change().map(|change| Arc::new(change.clone())));
+        let changed = entry.change().filter(|change| !change.is_empty());
+        let change = self.reload_change.take().or_else(|| changed.map(|change| Arc::new(change.clone())));
         self.pending.push_back((up_to, Arc::new(self.latest.clone()), change));
     }
 
@@ -404,3 +464,12 @@
         self.freeze(FreezeReason::LogFailed(why));
     }
 }
+
+/// The records that a log entry names by owner, type and data, as the version has them.
+fn kept_records(kept: Vec<LeasedRecord>, version: &Zone) -> Vec<Record> {
+    let record = |(name, kind, data): LeasedRecord| {
+        let ttl = version.set(&name, kind).map_or(0, |set| set.ttl);
+        Record { name, kind, ttl, data }
+    };
+    kept.into_iter().map(record).collect()
+}
--- a/crates/core/zones/src/zone_store/reload.rs
+++ b/crates/core/zones/src/zone_store/reload.rs
@@ -1,6 +1,8 @@
 //! Replacing the base of a zone, either by the zone file after it was read again, with the accepted updates
 //! applied to it, or by a version from a primary.
 
+use super::confirmed::{has_record, record_in, ConfirmedRecords};
+use super::reload_window::OpenWindow;
 use super::{ZoneLogEntry, ZoneStore};
 use crate::change::{diff, diff_at_names, Change, ChangeError};
 use crate::name::Name;
@@ -71,6 +73,12 @@
     pub(super) prepared_from: Zone,
     /// Conflicts between the file and accepted updates.
     pub conflicts: Vec<ReloadConflict>,
+    /// The records of the new base that accepted updates added too.
+    pub(super) confirmed: ConfirmedRecords,
+    /// Records that accepted updates added, that the old base had and that `merged` lacks.
+    pub(super) dropped_by_file: Vec<Record>,
+    /// Keeps the store recording the updates that it accepts.
+    pub(super) window: OpenWindow,
 }
 
 /// The part of a zone store that preparing a new base needs. Copying it is cheap: versions share their nodes.
@@ -78,6 +86,8 @@
 pub struct ReloadInput {
     pub(super) base: Zone,
     pub(super) latest: Zone,
+    pub(super) confirmed: ConfirmedRecords,
+    pub(super) window: OpenWindow,
 }
 
 impl ReloadInput {
@@ -100,14 +110,29 @@
         let overlay = diff(&self.base, &self.latest);
         merge_changes(&mut merged, &overlay, Some((&self.base, &base)), &mut conflicts);
         let change = diff(&self.latest, &merged);
-        PreparedReload { base, merged, change, prepared_from: self.latest.clone(), conflicts }
+        PreparedReload {
+            confirmed: self.confirmed.for_new_base(&overlay, &base),
+            dropped_by_file: self.confirmed.missing_in(&merged),
+            base,
+            merged,
+            change,
+            prepared_from: self.latest.clone(),
+            conflicts,
+            window: self.window.clone(),
+        }
     }
 }
 
 impl ZoneStore {
-    /// Returns the input for [`ReloadInput::prepare`].
-    pub fn reload_input(&self) -> ReloadInput {
-        ReloadInput { base: self.base.clone(), latest: self.latest.clone() }
+    /// Returns the input for [`ReloadInput::prepare`]. The store records the updates that it accepts from now on, until
+    /// the input and what was prepared from it are dropped.
+    pub fn reload_input(&mut self) -> ReloadInput {
+        ReloadInput {
+            base: self.base.clone(),
+            latest: self.latest.clone(),
+            confirmed: self.confirmed.clone(),
+            window: self.reload_window.open(),
+        }
     }
 
     /// Installs a prepared base as the next version, with the changes accepted since its preparation applied. The
@@ -120,17 +145,56 @@
     ) -> (ZoneLogEntry, Vec<ReloadConflict>, Vec<Zone>) {
         let mut conflicts = ready.conflicts.clone();
         let retired = vec![self.base.clone(), self.latest.clone(), ready.prepared_from.clone()];
-        let since = if ready.prepared_from.is_same_version(&self.latest) {
-            Change { from: self.latest.serial(), to: self.latest.serial(), ..Change::default() }
-        } else {
-            diff(&ready.prepared_from, &self.latest)
-        };
+        let since = self.changes_since_preparation(&ready);
+        let added_meanwhile: Vec<Record> = self.reload_window.added_records().cloned().collect();
         // The serial never decreases, even if the file has an older one.
         let serial = reload_serial(self.latest.serial(), ready.base.serial());
         self.install_base(base_file.clone(), ready, since.clone(), serial, &mut conflicts);
+        self.record_confirmations(&since, added_meanwhile.iter());
         (ZoneLogEntry::Based { base: base_file, serial, since }, conflicts, retired)
     }
 
+    /// The change that leads from the prepared version to one that reflects all accepted updates.
+    ///
+    /// Besides the difference between the versions it has effects that this difference can't show: a record that an
+    /// update added is in `added` if the new file dropped it, and a record that an update deleted is in `removed` if it
+    /// is in the new file only. Replaying the log entry then leads to the same version: the records in `added` are taken
+    /// from the version before, those in `removed` are put into it, and the merge with the new base is as here.
+    fn changes_since_preparation(&self, ready: &PreparedReload) -> Change {
+        let mut since = if ready.prepared_from.is_same_version(&self.latest) {
+            Change { from: self.latest.serial(), to: self.latest.serial(), ..Change::default() }
+        } else {
+            diff(&ready.prepared_from, &self.latest)
+        };
+        self.assert_dropped_records(ready, &mut since);
+        // The version that replaying the entry starts from; a record that does not fit into it is left out.
+        let Ok(mut before) = since.reversed().apply(&self.latest) else { return since };
+        let present: Vec<Record> = self.reload_window.deleted_records(&ready.merged);
+        for record in present {
+            let is_known = [&self.latest, &before].iter().any(|zone| has_record(zone, &record));
+            // Takes over the TTL of its set, so that the other records of the set stay as they are.
+            let ttl = before.set(&record.name, record.kind).map_or(record.ttl, |set| set.ttl);
+            let record = Record { ttl, ..record };
+            if !is_known && before.add(&record).is_ok() {
+                since.removed.push(record);
+            }
+        }
+        since
+    }
+
+    /// Makes `since` add the records that accepted updates added, that the newest version has and that the file dropped.
+    fn assert_dropped_records(&self, ready: &PreparedReload, since: &mut Change) {
+        let asserted = ready.dropped_by_file.iter().chain(self.reload_window.added_records());
+        let dropped =
+            asserted.filter(|record| record.kind != RecordType::SOA && !has_record(&ready.merged, record));
+        let dropped: BTreeSet<Record> =
+            dropped.filter_map(|record| record_in(&self.latest, record)).collect();
+        let keys: BTreeSet<_> = dropped.iter().map(Record::key).collect();
+        since.removed.retain(|record| !keys.contains(&record.key()));
+        since.added.retain(|record| !keys.contains(&record.key()));
+        since.added.extend(dropped.iter().cloned());
+    }
+
     /// Installs a prepared base. The newest version becomes the prepared one with the changes in `since` applied,
     /// which were accepted after the preparation began.
     pub(super) fn install_base(
@@ -141,7 +205,7 @@
         serial: Serial,
         conflicts: &mut Vec<ReloadConflict>,
     ) {
-        let PreparedReload { base, mut merged, change, .. } = ready;
+        let PreparedReload { base, mut merged, change, confirmed, window, .. } = ready;
         merge_changes(&mut merged, &since, None, conflicts);
         merged.set_serial(serial);
         // The prepared change stays valid except at names that were changed since its preparation. The versions are
@@ -155,6 +219,9 @@
         self.base = base;
         self.base_file = file;
         self.latest = merged;
+        self.confirmed = confirmed;
+        drop(window);
+        self.reload_window.close();
         self.reload_change = Some(Arc::new(full_change));
     }
 
@@ -166,6 +233,7 @@
         change: Change,
     ) -> (ZoneLogEntry, Vec<Zone>) {
         let retired = vec![self.base.clone(), self.latest.clone()];
+        self.confirmed = ConfirmedRecords::new(version.apex());
         self.base = version.clone();
         self.base_file = base_file.clone();
         self.latest = version;
--- a/crates/frontends/dns/src/server.rs
+++ b/crates/frontends/dns/src/server.rs
@@ -933,7 +933,7 @@
         reply_sender: Option<Sender<String>>,
     ) -> Result<(), &'static str> {
         let zone = &mut self.executor.zones[zone_index];
-        let (Some(store), Some(_)) = (&zone.store, &zone.settings.file) else {
+        let (Some(store), Some(_)) = (&mut zone.store, &zone.settings.file) else {
             return Err("the zone has no file");
         };
         if zone.file_read_running {
