--- a/crates/core/engine/src/actions.rs
+++ b/crates/core/engine/src/actions.rs
@@ -36,6 +36,7 @@
         match action {
             Action::Start(request) => {
                 if let Some(open) = self.open.get_mut(request) {
+                    open.has_started = true;
                     executor.start(request, &mut open.executor_state);
                 }
             }
@@ -111,8 +112,12 @@
         executor: &mut impl Executor<ExecutorState>,
         responder: &mut impl Responder<ReplyTo>,
     ) {
+        let name = self.ids.name(request).map(str::to_owned);
         self.ids.release(request);
         let Some(mut open) = self.open.remove(request) else { return };
+        if let Some(name) = name.filter(|_| open.has_started) {
+            self.ended_names.insert(&name, now + self.name_retention);
+        }
         if let Some(identity) = &open.identity {
             let settled = self.deduplication.release_request(now, identity.key(), request);
             self.settle_duplicates(settled, responder);
--- a/crates/core/engine/src/deduplication.rs
+++ b/crates/core/engine/src/deduplication.rs
@@ -136,13 +136,30 @@
     entries: BTreeMap<IdempotencyKey, Entry>,
     result_bytes: usize,
     max_result_bytes: usize,
+    key_bytes: usize,
+    max_key_bytes: usize,
     max_receive_delay: Span,
 }
 
+/// What a key takes in memory besides its text: the entry, and its place in the table.
+const KEY_OVERHEAD_BYTES: usize = 512;
+
+/// About how much memory a key takes.
+fn key_bytes(key: &IdempotencyKey) -> usize {
+    KEY_OVERHEAD_BYTES + key.text_bytes()
+}
+
 impl Deduplication {
     /// Creates an empty table. Retained results take at most `max_result_bytes` bytes in total.
     pub fn new(max_result_bytes: usize) -> Self {
-        Self { entries: BTreeMap::new(), result_bytes: 0, max_result_bytes, max_receive_delay: Span::ZERO }
+        Self {
+            entries: BTreeMap::new(),
+            result_bytes: 0,
+            max_result_bytes,
+            key_bytes: 0,
+            max_key_bytes: usize::MAX,
+            max_receive_delay: Span::ZERO,
+        }
     }
 
     /// Sets the longest time that a request can wait on this machine before it is read. A key is remembered for this long
@@ -151,6 +168,17 @@
         self.max_receive_delay = max_receive_delay;
     }
 
+    /// Sets how many bytes of memory keys may take.
+    pub fn set_max_key_bytes(&mut self, max_key_bytes: usize) {
+        self.max_key_bytes = max_key_bytes;
+    }
+
+    /// Whether a request with this identity can be registered. A key that is remembered already always can.
+    pub fn has_room_for(&self, identity: &RequestIdentity) -> bool {
+        let key = identity.key();
+        self.key_bytes + key_bytes(key) <= self.max_key_bytes || self.entries.contains_key(key)
+    }
+
     /// Registers a request and returns which earlier request it duplicates. A request that duplicates none becomes the
     /// first with its key. `arrived_at` is when the request reached this machine, which may be long before it was read.
     ///
@@ -169,6 +197,7 @@
             Some(entry) => Ok(Duplicate::Of(entry.request)),
             None => {
                 self.remove(key);
+                self.key_bytes += key_bytes(key);
                 self.entries.insert(key.clone(), Entry::new(request, content));
                 Ok(Duplicate::No)
             }
@@ -306,6 +335,7 @@
 
     fn remove(&mut self, key: &IdempotencyKey) -> Vec<SettledDuplicate> {
         let Some(entry) = self.entries.remove(key) else { return Vec::new() };
+        self.key_bytes -= key_bytes(key);
         if let FirstRun::Completed(result) = &entry.first_run {
             self.result_bytes -= result.len();
         }
--- a/crates/core/engine/src/engine.rs
+++ b/crates/core/engine/src/engine.rs
@@ -2,6 +2,7 @@
 
 use crate::counts::RequestCounts;
 use crate::deduplication::{Deduplication, KeyConflict};
+use crate::ended_names::EndedNames;
 use crate::executor::{Executor, RunEnd};
 use crate::identity::Fingerprint;
 use crate::request::{IncomingRequest, OpenRequest, OpenRequests, Rejection, RejectionReason};
@@ -14,6 +15,10 @@
     RunOutcome, Span,
 };
 
+/// How long the name of a request that was started is kept after its end, at least. A caller that left may come back
+/// later than a copy of its request is delayed.
+const MIN_NAME_RETENTION: Span = Span::from_millis(120_000);
+
 /// One instance of the request engine: a scheduler and the requests, timers and wallets that it decides on.
 ///
 /// - `S` is the [`Scheduler`].
@@ -23,6 +28,9 @@
 pub struct Engine<S, ExecutorState, ReplyTo, FrontendTimer> {
     pub(crate) scheduler: Option<S>,
     pub(crate) ids: RequestIdTable,
+    pub(crate) ended_names: EndedNames,
+    /// How long the name of a request that was started is kept after its end.
+    pub(crate) name_retention: Span,
     pub(crate) open: OpenRequests<ExecutorState, ReplyTo>,
     pub(crate) timers: Timers<FrontendTimer>,
     /// Actions that the scheduler has decided on and that are not executed yet.
@@ -46,6 +54,8 @@
         Self {
             scheduler: None,
             ids: RequestIdTable::default(),
+            ended_names: EndedNames::default(),
+            name_retention: MIN_NAME_RETENTION,
             open: OpenRequests::new(),
             timers: Timers::new(),
             actions: Vec::new(),
@@ -125,9 +135,18 @@
     }
 
     /// Sets the longest time that a request can wait on this machine before it is read. Expired idempotency keys are
-    /// remembered for this long, because a duplicate that arrived in time may still be unread.
+    /// remembered for this long, because a duplicate that arrived in time may still be unread. The names of requests that
+    /// were started are kept for at least twice as long after their ends: the time of arrival in a copy of a request may be
+    /// this long ago, or this far in the future.
     pub fn set_max_receive_delay(&mut self, max_receive_delay: Span) {
         self.deduplication.set_max_receive_delay(max_receive_delay);
+        self.name_retention = MIN_NAME_RETENTION.max(max_receive_delay * 2.0);
+    }
+
+    /// Sets how much memory idempotency keys may take, in bytes. Requests with further keys are rejected, as a key that was
+    /// accepted must be remembered for its time.
+    pub fn set_max_key_bytes(&mut self, max_key_bytes: usize) {
+        self.deduplication.set_max_key_bytes(max_key_bytes);
     }
 
     /// Submits a request that the frontend has read.
@@ -145,8 +164,14 @@
         self.counts.received += 1;
         let rejection = if self.scheduler.is_none() {
             Some(RejectionReason::NotReady)
-        } else if name.is_some_and(|name| self.ids.find(name).is_some()) {
+        } else if name.is_some_and(|name| self.is_name_in_use(now, name)) {
             Some(RejectionReason::NameInUse)
+        } else if incoming
+            .identity
+            .as_ref()
+            .is_some_and(|identity| !self.deduplication.has_room_for(identity))
+        {
+            Some(RejectionReason::TooManyKeys)
         } else {
             None
         };
@@ -184,6 +209,7 @@
             identity: incoming.identity,
             call_number: None,
             price_hold: price.hold(),
+            has_started: false,
             executor_state,
         };
         self.open.insert(request, open);
@@ -191,6 +217,11 @@
         Ok(request)
     }
 
+    /// Whether a request with this name is open, or was started and ended a short time ago.
+    fn is_name_in_use(&self, now: Instant, name: &str) -> bool {
+        self.ids.find(name).is_some() || self.ended_names.contains(name, now)
+    }
+
     /// Registers a request under its identity and returns which request it duplicates. The time that counts is when
     /// the request arrived at this machine, not when it was read: otherwise a duplicate that waited unread while its key
     /// expired would be executed again.
@@ -284,6 +315,9 @@
             let settled = self.deduplication.run_ended(identity.key(), request, result);
             self.settle_duplicates(settled, responder);
         }
+        if matches!(end, RunEnd::NotStarted | RunEnd::Unavailable(_)) {
+            self.set_started(request, false);
+        }
         let outcome = match end {
             RunEnd::Completed(result) => {
                 self.respond(request, FinalResponse::Completed(result), responder);
@@ -368,6 +402,7 @@
                     self.notify_scheduler(now, Event::TimerFired(gauges));
                     executor.on_timer();
                     self.deduplication.remove_expired(now);
+                    self.ended_names.remove_expired(now);
                 }
                 Timer::CallTimeout(request, number) => {
                     let open = self.open.get_mut(request);
@@ -406,6 +441,12 @@
         awaited
     }
 
+    pub(crate) fn set_started(&mut self, request: RequestId, has_started: bool) {
+        if let Some(open) = self.open.get_mut(request) {
+            open.has_started = has_started;
+        }
+    }
+
     pub(crate) fn notify_scheduler(&mut self, now: Instant, event: Event) {
         if let Some(scheduler) = &mut self.scheduler {
             scheduler.handle(now, event);
--- a/crates/core/engine/src/identity.rs
+++ b/crates/core/engine/src/identity.rs
@@ -46,6 +46,14 @@
     value: String,
 }
 
+impl IdempotencyKey {
+    /// The length of the texts in the key, in bytes.
+    pub(crate) fn text_bytes(&self) -> usize {
+        let tenant_bytes = if let KeyScope::Tenant(name) = &self.scope { name.len() } else { 0 };
+        tenant_bytes + self.value.len()
+    }
+}
+
 /// The identity that a request shares with its duplicates only.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestIdentity {
--- a/crates/core/engine/src/lib.rs
+++ b/crates/core/engine/src/lib.rs
@@ -32,6 +32,7 @@
 mod actions;
 mod counts;
 mod deduplication;
+mod ended_names;
 mod engine;
 mod executor;
 mod identity;
--- a/crates/core/engine/src/request.rs
+++ b/crates/core/engine/src/request.rs
@@ -34,9 +34,12 @@
 pub enum RejectionReason {
     /// There is no scheduler yet. The frontend responds that the request was rejected.
     NotReady,
-    /// Another open request has the same name. The frontend responds that the request was rejected if it is idempotent,
-    /// and otherwise that it failed: the caller may confuse it with the other request, which may be executed.
+    /// Another request has the same name. It is open, or it ended a short time ago and may have been executed. The frontend
+    /// responds that the request was rejected if it is idempotent, and otherwise that it failed: the caller may confuse it
+    /// with the other request.
     NameInUse,
+    /// As many idempotency keys are remembered as may be. The frontend responds that the request was rejected.
+    TooManyKeys,
     /// Another request of the tenant with the same idempotency key has other content. The frontend responds that the request
     /// failed: a caller that confuses the two must not be told that neither was executed.
     KeyConflict,
@@ -60,6 +63,8 @@
     pub call_number: Option<u64>,
     /// The price reserved in the tenant's wallet, until the request is settled.
     pub price_hold: Option<PriceHold>,
+    /// Whether the request was started, so that it may have had an effect.
+    pub has_started: bool,
     pub executor_state: ExecutorState,
 }
 
--- a/crates/core/engine/tests/engine.rs
+++ b/crates/core/engine/tests/engine.rs
@@ -469,3 +469,60 @@
         "a request accepted under the earlier reservation is not charged to the new one"
     );
 }
+
+/// A caller leaves while its request runs; the run ends, and a copy of the request arrives. The name must not be executed
+/// a second time, also if the copy is late. A request that was never started may come again.
+#[test]
+fn the_name_of_a_started_request_outlasts_it() {
+    let mut harness = Harness::new();
+    let request = harness.submit_to_class("a", 1, 0, None).expect("accepted");
+    harness.advance(0);
+    assert_eq!(harness.executor.running, [request]);
+    let now = harness.now();
+    assert!(harness.engine.caller_gone(now, request, |caller| *caller == 1));
+    harness.end(request, RunEnd::Completed(b"done".to_vec()));
+    let copy = |harness: &mut Harness| {
+        let incoming = IncomingRequest { class: 0, memory_kb: 1.0, ..IncomingRequest::default() };
+        harness.submit("a", 2, incoming).map_err(|rejection| rejection.reason)
+    };
+    assert_eq!(copy(&mut harness), Err(RejectionReason::NameInUse));
+    harness.advance(60_000);
+    assert_eq!(copy(&mut harness), Err(RejectionReason::NameInUse));
+    harness.advance(70_000);
+    assert!(copy(&mut harness).is_ok(), "names are kept for a limited time");
+    let never_started = harness.submit_to_class("b", 3, 0, None).expect("accepted");
+    let now = harness.now();
+    assert!(harness.engine.caller_gone(now, never_started, |caller| *caller == 3));
+    harness.advance(0);
+    assert!(harness.submit_to_class("b", 4, 0, None).is_ok());
+}
+
+/// Guards against memory that grows with ever new idempotency keys. A key that was accepted is remembered, so further
+/// ones are rejected until others have expired.
+#[test]
+fn further_idempotency_keys_are_rejected_when_their_memory_is_full() {
+    let mut harness = Harness::new();
+    harness.engine.set_max_key_bytes(2000);
+    let keyed = |harness: &mut Harness, key: &str| {
+        let incoming = IncomingRequest {
+            class: 1,
+            identity: Some(identity(1, key, 0)),
+            memory_kb: 1.0,
+            ..IncomingRequest::default()
+        };
+        harness.advance(1);
+        let name = format!("{key} at {}", harness.now_micros);
+        let submitted = harness.submit(&name, 1, incoming).map_err(|rejection| rejection.reason);
+        harness.advance(0);
+        while let Some(running) = harness.executor.running.pop() {
+            harness.end(running, RunEnd::Completed(b"done".to_vec()));
+        }
+        submitted.map(drop)
+    };
+    let accepted = (0..10).take_while(|n| keyed(&mut harness, &format!("key {n}")).is_ok()).count();
+    assert_eq!(accepted, 3, "a key takes a little over 512 bytes");
+    assert_eq!(keyed(&mut harness, "another"), Err(RejectionReason::TooManyKeys));
+    assert_eq!(keyed(&mut harness, "key 0"), Ok(()), "a known key is a duplicate");
+    harness.advance(20_000);
+    assert_eq!(keyed(&mut harness, "another"), Ok(()), "the earlier keys have expired");
+}
--- a/crates/frontends/net/src/connection.rs
+++ b/crates/frontends/net/src/connection.rs
@@ -3,7 +3,7 @@
 
 use crate::close_reason::CloseReason;
 use crate::fair_yield::FairYield;
-use crate::socket::{ReadOutcome, Socket};
+use crate::socket::{PeerState, ReadOutcome, Socket};
 use may::io::WaitIoWaker;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -112,9 +112,9 @@
         fair_yield.yield_on(&self.socket);
     }
 
-    /// Whether the kernel reports an error of the connection, such as a reset. A half-closed connection is not broken.
-    pub fn is_broken(&self) -> bool {
-        self.socket.is_broken()
+    /// What the peer can still do. Unread bytes do not hide this.
+    pub fn peer_state(&self) -> PeerState {
+        self.socket.peer_state()
     }
 
     /// Closes the sending side. Returns false if the connection is already broken.
--- a/crates/frontends/net/src/lib.rs
+++ b/crates/frontends/net/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fair_yield;
 pub mod listener;
 pub mod mailbox;
+pub mod memory_account;
 pub mod socket;
 pub mod startup;
 pub mod sync;
--- a/crates/frontends/net/src/mailbox.rs
+++ b/crates/frontends/net/src/mailbox.rs
@@ -64,6 +64,11 @@
         lock(&self.state).waker = None;
     }
 
+    /// Whether the mailbox is closed to new messages.
+    pub fn is_closed(&self) -> bool {
+        lock(&self.state).closed
+    }
+
     /// Closes the mailbox to new messages, and returns those that have not been taken.
     pub fn close(&self) -> VecDeque<T> {
         let mut state = lock(&self.state);
--- a/crates/frontends/net/src/socket.rs
+++ b/crates/frontends/net/src/socket.rs
@@ -3,6 +3,7 @@
 use crate::close_reason::CloseReason;
 use crate::sync::assert_no_lock_held;
 use may::io::{CoIo, WaitIo, WaitIoWaker};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
@@ -21,6 +22,17 @@
     EndOfStream,
 }
 
+/// What the peer of a connection can still do. Unread bytes do not hide this.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerState {
+    /// The peer can send and receive.
+    Open,
+    /// The peer closed its sending side. It may wait for responses, or it may have closed the connection; a write tells.
+    SendingClosed,
+    /// The connection was reset or closed in both directions: the peer receives nothing more.
+    Gone,
+}
+
 /// A TCP socket.
 pub struct Socket {
     stream: CoIo<TcpStream>,
@@ -95,9 +107,32 @@
         self.stream.waker()
     }
 
-    /// Whether the kernel reports an error of the connection, such as a reset. A half-closed connection is not broken.
+    /// What the peer can still do, as far as the kernel knows. Reading does not tell while there are unread bytes: they
+    /// stay readable after the peer has closed or reset the connection.
+    pub fn peer_state(&self) -> PeerState {
+        let mut polled = [PollFd::new(self.stream.inner(), PollFlags::RDHUP)];
+        // A failure, such as an interruption by a signal, says nothing about the peer.
+        if poll(&mut polled, Some(&Timespec::default())).is_err() {
+            return PeerState::Open;
+        }
+        let events = polled[0].revents();
+        if events.intersects(PollFlags::ERR | PollFlags::HUP) {
+            PeerState::Gone
+        } else if events.contains(PollFlags::RDHUP) {
+            PeerState::SendingClosed
+        } else {
+            PeerState::Open
+        }
+    }
+
+    /// Whether the connection is broken, such as by a reset. A half-closed connection is not broken.
     pub fn is_broken(&self) -> bool {
-        !matches!(self.stream.inner().take_error(), Ok(None))
+        self.peer_state() == PeerState::Gone
+    }
+
+    /// The number of bytes that were received and not read yet.
+    pub fn unread_bytes(&self) -> u64 {
+        rustix::io::ioctl_fionread(self.stream.inner()).unwrap_or(0)
     }
 
     /// Closes the sending side. Returns false if the connection is already broken.
--- a/crates/lynxtally-node/src/config.rs
+++ b/crates/lynxtally-node/src/config.rs
@@ -52,6 +52,8 @@
     pub idle_timeout: Option<Duration>,
     /// The maximum size of all retained results together.
     pub retained_result_bytes: usize,
+    /// The maximum memory for idempotency keys.
+    pub idempotency_key_bytes: usize,
 }
 
 /// The fraction of the descriptors for client connections. The rest is for the executor, the downstream dependency,
@@ -66,6 +68,8 @@
 const CLIENT_IDLE_TIMEOUT_FACTOR: u32 = 2;
 /// The fraction of the memory for retained results.
 const RETAINED_RESULTS_FRACTION: f64 = 0.25;
+/// The fraction of the memory for idempotency keys.
+const IDEMPOTENCY_KEYS_FRACTION: f64 = 0.25;
 
 impl Config {
     /// Derives the limits from the configuration.
@@ -85,6 +89,7 @@
             linger_bytes: self.memory_bytes / max_connections,
             idle_timeout: Some(idle_timeout).filter(|timeout| !timeout.is_zero()),
             retained_result_bytes: (self.memory_bytes as f64 * RETAINED_RESULTS_FRACTION) as usize,
+            idempotency_key_bytes: (self.memory_bytes as f64 * IDEMPOTENCY_KEYS_FRACTION) as usize,
         }
     }
 
--- a/crates/lynxtally-node/src/event_loop/mod.rs
+++ b/crates/lynxtally-node/src/event_loop/mod.rs
@@ -129,7 +129,9 @@
 impl EventLoop {
     /// Creates an event loop. It admits no requests before the executor has reported that it is up.
     pub fn new(config: Config, parts: EventLoopParts) -> Self {
-        let mut engine = Engine::new(config.resource_limits().retained_result_bytes);
+        let limits = config.resource_limits();
+        let mut engine = Engine::new(limits.retained_result_bytes);
+        engine.set_max_key_bytes(limits.idempotency_key_bytes);
         engine.set_timer(Instant::default(), TimerKind::CloseExpired);
         // The HTTP codec rejects requests that arrived longer ago than the longest deadline of a class.
         let max_deadline_ms = RequestSchema::new(&config.backend).max_deadline_ms;
--- a/crates/lynxtally-node/src/event_loop/requests.rs
+++ b/crates/lynxtally-node/src/event_loop/requests.rs
@@ -44,8 +44,8 @@
     /// Answers a request that the engine rejected.
     ///
     /// The response `Rejected` guarantees that the request was not executed. It is given if the engine is not ready,
-    /// because it then executes nothing. If the id is in use, the client can't distinguish this request from the open
-    /// one with the same id, which may be running. Unless the request is idempotent, it is then answered with `Failed`,
+    /// because it then executes nothing, or if too many keys are remembered. If the id is in use, the client can't
+    /// distinguish this request from the other one with the same id, which may be running or may have been executed. Unless the request is idempotent, it is then answered with `Failed`,
     /// because the client could apply the guarantee to the open request. For a similar reason, `Failed` is the answer
     /// if the idempotency key belongs to another request.
     fn respond_to_rejection(&self, id: &str, effect: Effect, rejection: &Rejection<ConnectionHandle>) {
@@ -59,7 +59,7 @@
         }
         self.counters.requests_refused.increment();
         let was_not_executed = match reason {
-            RejectionReason::NotReady => true,
+            RejectionReason::NotReady | RejectionReason::TooManyKeys => true,
             RejectionReason::NameInUse => effect == Effect::Idempotent,
             RejectionReason::KeyConflict => false,
         };
--- a/crates/lynxtally-node/src/listener/connection.rs
+++ b/crates/lynxtally-node/src/listener/connection.rs
@@ -9,6 +9,7 @@
 use lynxtally_net::close_reason::CloseReason;
 use lynxtally_net::connection::{Connection, ReadProgress};
 use lynxtally_net::coroutine::catch_panic;
+use lynxtally_net::socket::PeerState;
 use lynxtally_net::sync::lock;
 use tracing::{debug, warn};
 
@@ -163,6 +164,15 @@
     fn serve(&mut self, connection: &mut Connection) -> CloseReason {
         loop {
             let mut pass = self.take_commands(connection);
+            // Responses are written before the next request is begun, and nothing is begun for a client that is gone,
+            // although the requests that it sent are still readable.
+            if let Err(reason) = connection.flush() {
+                return reason;
+            }
+            if connection.peer_state() == PeerState::Gone {
+                return CloseReason::Reset;
+            }
+            pass.is_backlogged = !connection.is_flushed();
             if self.read_open && self.pending_close.is_none() && !pass.is_backlogged {
                 match connection.fill(&mut self.reader.buffer, MessageReader::CLIENT_BUFFER_BYTES) {
                     Ok(read) => pass.read = read,
@@ -178,10 +188,6 @@
             if self.apply_close_command(connection, &pass) == CloseTiming::Immediate {
                 return CloseReason::Reset;
             }
-            // A client that has closed both directions waits for no response.
-            if !self.read_open && connection.is_broken() {
-                return CloseReason::Reset;
-            }
             if let Some(reason) = self.pending_close {
                 if connection.is_flushed() && self.open_request.is_none() {
                     return reason;
@@ -212,13 +218,7 @@
                 ConnectionCommand::Close(reason) => close_command = Some(reason),
             }
         }
-        Pass {
-            is_backlogged: !connection.is_flushed(),
-            made_progress,
-            messages: 0,
-            read: ReadProgress::Drained,
-            close_command,
-        }
+        Pass { is_backlogged: false, made_progress, messages: 0, read: ReadProgress::Drained, close_command }
     }
 
     fn can_handle_message(&self, pass: &Pass) -> bool {
--- a/crates/lynxtally-node/tests/faults.rs
+++ b/crates/lynxtally-node/tests/faults.rs
@@ -377,6 +377,32 @@
     assert_eq!(["finished", "caller_gone"].map(|name| count(&line, name)), [1, 1], "{line}");
 }
 
+/// A client leaves while its request runs, and a request with the same id comes on another connection, once while the
+/// first runs and once after it has ended. The id must not run twice.
+#[test]
+fn an_id_that_comes_again_after_its_client_left_does_not_run_twice() {
+    let node = TestNode::start();
+    let mut gone = node.connect();
+    gone.send("GET /alive HTTP/1.1\r\n\r\n");
+    wait_until("the health check is answered", || gone.has_unread());
+    gone.send(&request(1, "wait"));
+    wait_until("the run has started", || node.executor.commands("SCHED") == 1);
+    drop(gone);
+    let mut again = node.connect();
+    again.send(&request(1, "wait"));
+    assert_eq!(again.response().0, 503);
+    node.executor.complete_run(&id(1), "late");
+    // The node reads the end of the run before it answers a run that ends later.
+    let mut other = node.connect();
+    other.send(&request(2, "ok:other"));
+    assert_eq!(other.response().0, 200);
+    again.send(&request(1, "wait"));
+    assert_eq!(again.response().0, 503);
+    assert_eq!(node.executor.commands("SCHED"), 2, "one for each id");
+    let line = shut_down(node);
+    assert_eq!(["caller_gone", "runs_ok"].map(|name| count(&line, name)), [1, 2], "{line}");
+}
+
 /// A timed wait of the coroutine library could expire before the coroutine was suspended, and then the coroutine was
 /// never woken. The node's own timer must not lose such waits.
 #[test]
--- a/crates/lynxtally-node/tests/races.rs
+++ b/crates/lynxtally-node/tests/races.rs
@@ -152,6 +152,30 @@
     assert_eq!(evicted.read_to_end().expect("connection closed without a reset"), b"");
 }
 
+/// A client sends more requests than the node buffers, and resets its connection while the first of them is open. While
+/// its buffer was full, the node did not notice: the first request stayed open, and after its response the next one was
+/// begun.
+#[test]
+fn no_further_request_of_a_client_that_reset_its_connection_is_begun() {
+    let (listener, address, messages) = start_listener(9);
+    let mut gone = Client::connect(address);
+    gone.send(CHECK);
+    wait_until("the health check is answered", || gone.has_unread());
+    (1..=100).for_each(|number| gone.send(&request(number, &"x".repeat(400))));
+    let mut read = Vec::new();
+    wait_until("the first request is read", || {
+        read.extend(messages.try_iter());
+        !read.is_empty()
+    });
+    // The response to the health check is unread, so closing the connection resets it.
+    drop(gone);
+    wait_until("the connection is closed", || matches!(listener.len(), 0));
+    read.extend(messages.try_iter());
+    assert!(matches!(&read[0], Message::Request(first) if first.request.id == id(1)));
+    assert!(matches!(&read[1], Message::ClientDisconnected { id: first, .. } if *first == id(1)));
+    assert_eq!(read.len(), 2, "no other request is begun");
+}
+
 /// SIGTERM arrives before the executor is up, so there is no scheduler whose timer period sets the time of the exit.
 /// The program once ended only when it was killed.
 #[test]
