--- a/crates/core/flow/src/memory_pool.rs
+++ b/crates/core/flow/src/memory_pool.rs
@@ -40,6 +40,8 @@
 pub struct MemoryPool {
     limits: MemoryLimits,
     streams: BTreeMap<StreamId, StreamWindow>,
+    /// The part of the budget that something else than streams uses, in bytes.
+    unavailable: u64,
     last_rebalance: Instant,
 }
 
@@ -55,7 +57,18 @@
 impl MemoryPool {
     /// Creates a pool without streams.
     pub fn new(limits: MemoryLimits, now: Instant) -> Self {
-        Self { limits, streams: BTreeMap::new(), last_rebalance: now }
+        Self { limits, streams: BTreeMap::new(), unavailable: 0, last_rebalance: now }
+    }
+
+    /// Sets how many bytes of the budget are used by something else than streams. Windows above their floors get what is
+    /// left; floors are not affected.
+    pub fn set_unavailable(&mut self, bytes: u64) {
+        self.unavailable = bytes;
+    }
+
+    /// The bytes that windows above their floors share.
+    fn shared_bytes(&self) -> u64 {
+        self.limits.total.saturating_sub(self.limits.reserved).saturating_sub(self.unavailable)
     }
 
     /// Admits a stream and reserves its floor. Returns false if the reserved part has no room for another floor.
@@ -96,9 +109,9 @@
 
     /// Whether most of the part above the floors, or most of the part reserved for floors, is in use.
     pub fn is_scarce(&self) -> bool {
-        let MemoryLimits { total, reserved, floor, .. } = self.limits;
+        let MemoryLimits { reserved, floor, .. } = self.limits;
         let is_nearly_full = |used: u64, limit: u64| used as f64 >= limit as f64 * SCARCE_FRACTION;
-        is_nearly_full(self.committed_above_floors(), total - reserved)
+        is_nearly_full(self.committed_above_floors(), self.shared_bytes())
             || is_nearly_full(self.streams.len() as u64 * floor, reserved)
     }
 
@@ -154,7 +167,8 @@
             return;
         }
         self.last_rebalance = now;
-        let MemoryLimits { total, reserved, floor, max_window, lookahead } = self.limits;
+        let MemoryLimits { floor, max_window, lookahead, .. } = self.limits;
+        let shared = self.shared_bytes();
         let mut wanted = Vec::with_capacity(self.streams.len());
         for (id, stream) in &mut self.streams {
             let rate = stream.taken as f64 / elapsed;
@@ -173,7 +187,7 @@
             wanted.push((*id, stream.weight, above_floor));
             stream.taken = 0;
         }
-        let mut left = total.saturating_sub(reserved) as f64;
+        let mut left = shared as f64;
         // Weighted water-filling, smallest demand per weight first: memory that a stream does not need is left to the
         // others.
         wanted.sort_by(|a, b| (a.2 as f64 / a.1).total_cmp(&(b.2 as f64 / b.1)).then(a.0.cmp(&b.0)));
@@ -189,7 +203,7 @@
             let Some(stream) = self.streams.get_mut(id) else { continue };
             stream.window = stream.window.min(*target);
         }
-        let mut free = total.saturating_sub(reserved).saturating_sub(self.committed_above_floors());
+        let mut free = shared.saturating_sub(self.committed_above_floors());
         for (id, target) in targets {
             let Some(stream) = self.streams.get_mut(&id) else { continue };
             let committed = stream.window.max(stream.held);
--- a/crates/core/flow/src/uploads.rs
+++ b/crates/core/flow/src/uploads.rs
@@ -15,6 +15,9 @@
     pub tenant_bytes: u64,
     /// The most bytes that all uploads together may have.
     pub total_bytes: u64,
+    /// The most memory that the records of all uploads together may take, in bytes. It limits how many uploads can be
+    /// open, as an upload without any bytes counts for no quota.
+    pub record_bytes: u64,
     /// Seconds after which an upload expires if it receives no bytes.
     pub expiry_secs: u64,
 }
@@ -100,9 +103,19 @@
     uploads: BTreeMap<UploadId, State>,
     bytes_by_tenant: BTreeMap<String, u64>,
     total_bytes: u64,
+    record_bytes: u64,
     last_writer: u64,
 }
 
+/// What the record of an upload takes in memory besides the names and the head in it: the record, its entries in tables,
+/// and what an operation on it holds.
+const RECORD_OVERHEAD_BYTES: u64 = 512;
+
+/// About how much memory the record of an upload takes.
+fn record_bytes(upload: &Upload) -> u64 {
+    RECORD_OVERHEAD_BYTES + (upload.tenant.len() + upload.request_head.len()) as u64
+}
+
 /// The bytes that an upload counts for in the quotas: those received, or the announced length if that is larger.
 fn quota_bytes(upload: &Upload) -> u64 {
     upload.offset.max(upload.length.unwrap_or(0))
@@ -116,6 +129,7 @@
             uploads: BTreeMap::new(),
             bytes_by_tenant: BTreeMap::new(),
             total_bytes: 0,
+            record_bytes: 0,
             last_writer: 0,
         }
     }
@@ -138,12 +152,14 @@
     /// Creates an upload. Returns the log entry and the number of its writer.
     ///
     /// # Errors
-    /// [`UploadError::TakenOver`] if the id is in use, [`UploadError::QuotaExceeded`] if a quota has no room for it.
+    /// [`UploadError::TakenOver`] if the id is in use, [`UploadError::QuotaExceeded`] if a quota or the
+    /// memory for records has no room for it.
     pub fn create(&mut self, id: UploadId, upload: Upload) -> Result<(Entry, u64), UploadError> {
         if self.uploads.contains_key(&id) {
             return Err(UploadError::TakenOver);
         }
-        if !self.fits_quotas(&upload.tenant, quota_bytes(&upload)) {
+        let has_room = self.record_bytes + record_bytes(&upload) <= self.limits.record_bytes;
+        if !has_room || !self.fits_quotas(&upload.tenant, quota_bytes(&upload)) {
             return Err(UploadError::QuotaExceeded);
         }
         self.last_writer += 1;
@@ -155,6 +171,7 @@
     fn insert(&mut self, id: UploadId, upload: Upload) {
         let (tenant, added) = (upload.tenant.clone(), quota_bytes(&upload));
         self.adjust_usage(&tenant, added, 0);
+        self.record_bytes += record_bytes(&upload);
         self.uploads.insert(id, State { upload, writer: self.last_writer });
     }
 
@@ -266,6 +283,7 @@
     pub fn remove(&mut self, id: UploadId) -> Option<Entry> {
         let state = self.uploads.remove(&id)?;
         self.adjust_usage(&state.upload.tenant, 0, quota_bytes(&state.upload));
+        self.record_bytes -= record_bytes(&state.upload);
         Some(Entry::Removed(id))
     }
 
--- a/crates/frontends/dns/src/codec.rs
+++ b/crates/frontends/dns/src/codec.rs
@@ -160,7 +160,21 @@
     Respond(Vec<u8>),
 }
 
+/// What a request takes in memory besides its message: the parsed request, its context, and its entries in tables.
+const REQUEST_BYTES: usize = 1024;
+/// What a parsed record of an update takes: its fields, and two allocations for its name and its data.
+const UPDATE_RECORD_BYTES: usize = 192;
+
 impl Request {
+    /// About how much memory the request takes until it has its response, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let records = match &self.body {
+            RequestBody::Update { prerequisites, updates, .. } => prerequisites.len() + updates.len(),
+            _ => 0,
+        };
+        REQUEST_BYTES + self.length + records * UPDATE_RECORD_BYTES
+    }
+
     /// Parses a request. The work is bounded by the message's length, also for compression loops and truncated messages.
     pub fn read(octets: &[u8]) -> Result<Self, RequestError> {
         if octets.len() < HEADER_BYTES || octets[2] & 0x80 != 0 {
--- a/crates/frontends/dns/src/lib.rs
+++ b/crates/frontends/dns/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod connection;
 pub mod control;
 pub mod cookie;
+pub mod datagram_queue;
 pub mod executor;
 pub mod log_writer;
 pub mod server;
--- a/crates/frontends/dns/src/server.rs
+++ b/crates/frontends/dns/src/server.rs
@@ -5,9 +5,10 @@
 use crate::codec::{
     ExtendedError, Request, RequestBody, RequestError, ResponseCode, ResponseLimits, MAX_MESSAGE_BYTES,
 };
-use crate::connection::{ConnectionCommand, ConnectionEvent, Connections, ResponsePath};
+use crate::connection::{ConnectionCommand, ConnectionEvent, Connections, ReceivedMessage, ResponsePath};
 use crate::control::{self, Command};
 use crate::cookie;
+use crate::datagram_queue::{Datagram, DatagramQueue};
 use crate::executor::{ExecutorCounts, RequestContext, ZoneExecutor, ZoneState};
 use crate::log_writer::{self, AppendJob, DirectoryStorage};
 use crate::settings::{self, class, CheckedSettings};
@@ -18,6 +19,7 @@
 use lynxtally_net::clock::Clock;
 use lynxtally_net::coroutine::{catch_panic, spawn};
 use lynxtally_net::fair_yield::FairYield;
+use lynxtally_net::memory_account::MemoryAccount;
 use lynxtally_net::sync::lock;
 use lynxtally_net::timer::Timer;
 use lynxtally_wal::{Rotation, Storage, WriteAheadLog};
@@ -48,8 +50,11 @@
 /// Stack of the coroutines that accept connections, in words.
 const STACK_WORDS: usize = 0x4000;
 /// Limits on what one pass of the server loop reads per socket, in batches of datagrams, and from the event queue.
-const MAX_BATCHES_PER_TURN: usize = 2;
+const MAX_BATCHES_PER_TURN: usize = 16;
 const MAX_EVENTS_PER_TURN: usize = 64;
+/// How long queued datagrams, and events, are handled in one turn before what arrived meanwhile is received.
+const DATAGRAM_TURN: Span = Span::from_millis(1);
+const EVENT_TURN: Span = Span::from_millis(2);
 /// The minimum age at which an unreferenced base file is deleted. The log entry that references a new base file is
 /// written within seconds.
 const MIN_BASE_AGE: Duration = Duration::from_secs(600);
@@ -119,6 +124,8 @@
     sockets: Vec<Arc<UdpSocket>>,
     outgoing: Vec<Vec<(SocketAddr, Vec<u8>)>>,
     dropped: u64,
+    /// The clients of datagrams whose requests got their final response, until the datagram queue is told.
+    answered: Vec<SocketAddr>,
 }
 
 impl ResponseSender {
@@ -128,7 +135,7 @@
                 self.outgoing[*socket].push((to, octets));
                 true
             }
-            ResponsePath::Tcp(connection) => connection.0.push(ConnectionCommand::Respond(octets)),
+            ResponsePath::Tcp(connection) => connection.respond(octets),
         }
     }
 
@@ -146,6 +153,9 @@
     fn respond(&mut self, context: Arc<RequestContext<ResponsePath>>, response: FinalResponse) -> bool {
         use crate::executor::Transport;
         let streaming = context.streaming.load(Ordering::Relaxed);
+        if let ResponsePath::Udp(_) = context.peer {
+            self.answered.push(context.from);
+        }
         let octets = match response {
             // A finished transfer: its messages were the response.
             FinalResponse::Completed(octets) if octets.is_empty() => return true,
@@ -230,6 +240,9 @@
     log_jobs: Sender<AppendJob>,
     background_jobs: Sender<BackgroundJob>,
     connections: Arc<Connections>,
+    datagrams: DatagramQueue,
+    /// Datagrams that were dropped because their client sends more than is handled.
+    overflowed_datagrams: u64,
     draining: bool,
     stopped: bool,
     unreadable: u64,
@@ -286,8 +299,13 @@
     let fair_yield = FairYield::start().map_err(|fault| format!("a coroutine can't be started: {fault}"))?;
     let queue = events.clone();
     let on_connection_event = move |event| queue.push(ServerEvent::Connection(event));
-    let connections =
-        Arc::new(Connections::new(settings.limits.connections, timer, fair_yield, on_connection_event));
+    let connections = Arc::new(Connections::new(
+        settings.limits.connections,
+        MemoryAccount::new(settings.limits.connection_memory()),
+        timer,
+        fair_yield,
+        on_connection_event,
+    ));
     for listener in listeners {
         let acceptor = connections.clone();
         spawn(
@@ -324,6 +342,7 @@
             outgoing: vec![Vec::new(); sockets.len()],
             sockets: sockets.clone(),
             dropped: 0,
+            answered: Vec::new(),
         },
         settings,
         clock,
@@ -333,6 +352,8 @@
         log_jobs,
         background_jobs,
         connections,
+        datagrams: DatagramQueue::default(),
+        overflowed_datagrams: 0,
         draining: false,
         stopped: false,
         unreadable: 0,
@@ -596,26 +617,12 @@
         let sockets = self.responses.sockets.clone();
         while !self.stopped {
             self.executor.now = self.clock.now();
-            let mut more = false;
-            for (socket_index, socket) in sockets.iter().enumerate() {
-                for _ in 0..MAX_BATCHES_PER_TURN {
-                    let received = buffers.receive(socket, |from, octets, received_us| {
-                        self.handle_message(octets, from, ResponsePath::Udp(socket_index), received_us);
-                    });
-                    match received {
-                        Ok(true) => more = true,
-                        Ok(false) => break,
-                        Err(fault) => warn!(%fault, "receiving UDP datagrams failed"),
-                    }
-                }
-            }
-            for _ in 0..MAX_EVENTS_PER_TURN {
-                let Some(event) = self.events.pop() else { break };
-                more = true;
-                self.handle_event(event);
-            }
+            let mut more = self.receive_datagrams(&sockets, &mut buffers);
+            self.handle_datagrams();
+            more |= self.datagrams.is_ready();
+            more |= self.handle_events();
             self.run_engine();
-            if self.draining && self.engine.counts().in_flight == 0 {
+            if self.draining && self.engine.counts().in_flight == 0 && self.datagrams.is_empty() {
                 break;
             }
             if !more {
@@ -627,6 +634,50 @@
         self.responses.flush();
     }
 
+    /// Moves received datagrams into the queue. Returns whether more may be waiting.
+    fn receive_datagrams(&mut self, sockets: &[Arc<UdpSocket>], buffers: &mut udp::ReceiveBuffers) -> bool {
+        let mut more = false;
+        for (socket_index, socket) in sockets.iter().enumerate() {
+            for _ in 0..MAX_BATCHES_PER_TURN {
+                let received = buffers.receive(socket, |from, octets, received_us| {
+                    let octets = octets.map(<[u8]>::to_vec);
+                    let datagram = Datagram { octets, from, socket: socket_index, received_us };
+                    self.overflowed_datagrams += u64::from(!self.datagrams.push(datagram));
+                });
+                match received {
+                    Ok(true) => more = true,
+                    Ok(false) => break,
+                    Err(fault) => warn!(%fault, "receiving UDP datagrams failed"),
+                }
+            }
+        }
+        more
+    }
+
+    /// Handles events for a limited time. Returns whether there was one.
+    fn handle_events(&mut self) -> bool {
+        let start = self.clock.now();
+        for handled in 0..MAX_EVENTS_PER_TURN {
+            let Some(event) = self.events.pop() else { return handled > 0 };
+            self.handle_event(event);
+            if self.clock.now() - start >= EVENT_TURN {
+                break;
+            }
+        }
+        true
+    }
+
+    /// Handles queued datagrams for a limited time, so that those that arrive meanwhile are received.
+    fn handle_datagrams(&mut self) {
+        let start = self.executor.now;
+        while self.clock.now() - start < DATAGRAM_TURN {
+            let Some(Datagram { octets, from, socket, received_us }) = self.datagrams.pop() else { return };
+            if !self.handle_message(octets.as_deref(), from, ResponsePath::Udp(socket), received_us) {
+                self.datagrams.request_ended(from);
+            }
+        }
+    }
+
     /// Answers every open request with SERVFAIL after the server thread panicked.
     fn fail_open_requests(&mut self) {
         for context in self.engine.fail_all() {
@@ -670,20 +721,24 @@
             // The log thread runs as long as the program: the send can't fail.
             let _ = self.log_jobs.send(AppendJob { zone, batch });
         }
+        for client in std::mem::take(&mut self.responses.answered) {
+            self.datagrams.request_ended(client);
+        }
         for zone in std::mem::take(&mut self.executor.notified_zones) {
             self.poll_primary(zone);
         }
         self.responses.flush();
     }
 
-    /// Reads a message, verifies its TSIG and cookie, and submits it to the engine as a request.
+    /// Reads a message, verifies its TSIG and cookie, and submits it to the engine as a request. Returns false if it is not
+    /// submitted.
     fn handle_message(
         &mut self,
         octets: Option<&[u8]>,
         from: SocketAddr,
         via: ResponsePath,
         received_us: Option<u64>,
-    ) {
+    ) -> bool {
         let now = self.executor.now;
         let udp = matches!(via, ResponsePath::Udp(_));
         let read = octets.map_or(Err(RequestError::Ignore), Request::read);
@@ -697,11 +752,11 @@
                     }
                     // A client that sends anything but DNS requests gets its connection closed.
                     (RequestError::Ignore, ResponsePath::Tcp(connection)) => {
-                        connection.0.push(ConnectionCommand::Abort);
+                        connection.push(ConnectionCommand::Abort);
                     }
                     (RequestError::Ignore, ResponsePath::Udp(_)) => {}
                 }
-                return;
+                return false;
             }
         };
         let unix = (now - Instant::default()).micros() / 1_000_000;
@@ -751,7 +806,7 @@
             caller: prefix(from.ip()),
             receive_delay: received_us
                 .map_or(Span::ZERO, |received_us| now - Instant::from_micros(received_us)),
-            memory_kb: 0.5 + request.length as f64 / 512.0,
+            memory_kb: request.memory_bytes() as f64 / 1024.0,
             ..IncomingRequest::default()
         };
         let limits = ResponseLimits { max_bytes, udp_payload_bytes };
@@ -769,20 +824,27 @@
         {
             let octets = context.code(ResponseCode::SERVFAIL, None);
             self.responses.send(&context.peer, from, octets);
+            return false;
         }
+        true
     }
 
     fn handle_event(&mut self, event: ServerEvent) {
         let now = self.executor.now;
         match event {
-            ServerEvent::Connection(ConnectionEvent::MessageReceived(octets, from, connection)) => {
-                self.handle_message(Some(&octets), from, ResponsePath::Tcp(connection), None)
+            ServerEvent::Connection(ConnectionEvent::MessageReceived(message)) => {
+                let ReceivedMessage { octets, from, connection, charge } = message;
+                // Nothing is begun for a client that is gone.
+                if !connection.is_closed() {
+                    self.handle_message(Some(&octets), from, ResponsePath::Tcp(connection), None);
+                }
+                drop(charge);
             }
             ServerEvent::Connection(ConnectionEvent::Closed(connection, _)) => {
                 let same_connection = |context: &Arc<RequestContext<ResponsePath>>| {
                     matches!(
                         &context.peer,
-                        ResponsePath::Tcp(other) if Arc::ptr_eq(&other.0, &connection.0)
+                        ResponsePath::Tcp(other) if other.is_same(&connection)
                     )
                 };
                 for request_id in self.engine.awaiting_reply(same_connection) {
@@ -1140,7 +1202,7 @@
         let zones: Vec<String> = self.executor.zones.iter().map(zone_status).collect();
         format!(
             "{{\"tasks\":{{{}}},\"read\":{},\"finished\":{},\"rejected\":{},\"abandoned\":{},\"caller_gone\":{},\
-             \"open\":{},\"answers_lost\":{},\"unreadable\":{},\"beyond_share\":{},\"codes\":{{{}}},\
+             \"open\":{},\"answers_lost\":{},\"unreadable\":{},\"beyond_share\":{},\"overflowed\":{},\"codes\":{{{}}},\
              \"repeats\":{repeats},\"versions\":{versions},\"lapsed\":{lapsed},\"transfers\":{transfers},\
              \"connections\":{},\"zones\":[{}]}}",
             requests_by_class.join(","),
@@ -1153,6 +1215,7 @@
             counts.undelivered + self.responses.dropped,
             self.unreadable,
             self.over_share,
+            self.overflowed_datagrams,
             codes.join(","),
             self.connections.len(),
             zones.join(","),
--- a/crates/frontends/dns/src/settings.rs
+++ b/crates/frontends/dns/src/settings.rs
@@ -1,7 +1,9 @@
 //! The settings of a DNS server: decoding, defaults and checks.
 
+use crate::connection::{ALLOWANCE_BYTES, CONNECTION_BYTES};
 use crate::tsig::Key;
 use lynxtally::{CapacityFormat, Downstream, Effect, RequestClass, Settings, Span};
+use lynxtally_net::memory_account::AccountLimits;
 use lynxtally_zones::rate_limit::{CountMinSketch, RequestRateLimit};
 use lynxtally_zones::secondary::RetryTimes;
 use lynxtally_zones::update::{Grant, Scope};
@@ -293,6 +295,10 @@
 /// The number of cores reported to the scheduler, and so of requests that run at once. The one real core is reported as
 /// this many slower ones, so that the scheduler decides once for a batch of requests and not once for each.
 pub const VIRTUAL_CORES: u32 = 32;
+/// The part of the memory for requests that wait or run is one over this.
+const REQUESTS_MEMORY_DIVISOR: u64 = 4;
+/// The part of the memory for connections, in eighths. The rest is for the program itself.
+const CONNECTIONS_MEMORY_EIGHTHS: u64 = 3;
 /// The memory of a running request, as a multiple of that of a queued one.
 const RUNNING_MEMORY_FACTOR: f64 = 2.0;
 
@@ -382,7 +388,7 @@
         }
         Settings {
             cores: VIRTUAL_CORES,
-            memory_kb: (self.limits.memory_mb * 1024) as f64,
+            memory_kb: (self.limits.memory_mb * 1024 / REQUESTS_MEMORY_DIVISOR) as f64,
             running_memory_factor: RUNNING_MEMORY_FACTOR,
             idempotency_key_kb: 0.1,
             cold_start: false,
@@ -457,6 +463,16 @@
         limits
     }
 
+    /// The memory that connections share.
+    pub fn connection_memory(&self) -> AccountLimits {
+        AccountLimits {
+            total: ((self.memory_mb << 20) * CONNECTIONS_MEMORY_EIGHTHS / 8) as usize,
+            max_connections: self.connections,
+            per_connection: CONNECTION_BYTES,
+            allowance: ALLOWANCE_BYTES,
+        }
+    }
+
     /// The rate limit of queries by address prefix.
     pub fn rate_limit(&self, key: u64, now: lynxtally::Instant) -> RequestRateLimit {
         // Counts halve every half second, so a count covers about the last second.
--- a/crates/frontends/net/src/listener.rs
+++ b/crates/frontends/net/src/listener.rs
@@ -15,6 +15,11 @@
 /// The pause after a failed `accept`. Without it the loop would spin when no file descriptor is left, because each
 /// `accept` then fails at once.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// After this many accepts without a wait, a listener sleeps so that other coroutines run. A client that opens connections
+/// at full speed would otherwise keep the worker thread.
+const MAX_ACCEPTS_IN_A_ROW: u32 = 16;
+/// How long it sleeps then.
+const YIELD_TIME: Duration = Duration::from_millis(1);
 /// The longest time that [`ListenerSet::close`] waits until all listeners are closed, in pauses.
 const MAX_CLOSE_PAUSES: usize = 10;
 
@@ -91,10 +96,18 @@
             }
         };
         lock(&self.wakers).push(listener.waker());
+        let mut accepted_in_a_row = 0;
         while !self.closing.load(Ordering::Acquire) {
             match listener.inner().accept() {
-                Ok((stream, from)) => on_accepted(stream, from),
+                Ok((stream, from)) => {
+                    on_accepted(stream, from);
+                    accepted_in_a_row += 1;
+                    if accepted_in_a_row % MAX_ACCEPTS_IN_A_ROW == 0 {
+                        self.timer.sleep(YIELD_TIME);
+                    }
+                }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    accepted_in_a_row = 0;
                     listener.wait_io();
                 }
                 Err(error) => {
--- a/crates/frontends/stream/src/http/request.rs
+++ b/crates/frontends/stream/src/http/request.rs
@@ -7,6 +7,9 @@
 };
 use std::io::Write;
 
+/// What a parsed field takes besides its name and value: two pointers with lengths, and two allocations.
+const FIELD_BYTES: usize = 80;
+
 /// The head of a client's request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestHead {
@@ -74,6 +77,12 @@
         Ok(Some(ParsedHead { head, length }))
     }
 
+    /// About how much memory the parsed head takes, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let fields = self.fields.iter().map(|(name, value)| FIELD_BYTES + name.len() + value.len());
+        self.method.len() + self.target.len() + fields.sum::<usize>()
+    }
+
     /// Whether the client's connection ends after the response.
     pub fn closes_connection(&self) -> bool {
         self.known.closes_connection || (self.is_http_10 && !self.known.keep_alive)
--- a/crates/frontends/stream/src/proxy/exchange.rs
+++ b/crates/frontends/stream/src/proxy/exchange.rs
@@ -9,14 +9,14 @@
 use lynxtally_engine::{FinalResponse, RunEnd, Scheduler};
 use lynxtally_flow::uploads::UploadId;
 use lynxtally_net::close_reason::CloseReason;
-use lynxtally_net::socket::Socket;
+use lynxtally_net::socket::{PeerState, Socket};
 use lynxtally_net::sync::lock;
 use may::io::WaitIoWaker;
 use std::sync::{Arc, Mutex};
 use tracing::debug;
 
 /// The bytes after which a coroutine yields to the others, so that one fast exchange does not delay them.
-pub(super) const BYTES_PER_TURN: usize = 1024 * 1024;
+pub(crate) const BYTES_PER_TURN: usize = 1024 * 1024;
 
 /// What a coroutine does next, after it has transferred what it could.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,6 +86,8 @@
     pub(super) state: Mutex<ExchangeState>,
     pub(super) client: Arc<Socket>,
     pub(super) handle: Arc<RequestHandle>,
+    /// The length of the body that the request's head announces.
+    announced_bytes: Option<u64>,
     pub(super) upstream_waker: Mutex<Option<WaitIoWaker>>,
 }
 
@@ -107,6 +109,22 @@
 }
 
 impl Exchange {
+    /// Why the client of a request that is not admitted yet is gone; `None` if it may be waiting. Nothing of the request's
+    /// body has been read, so the client's departure is visible to the kernel only.
+    fn departure_while_queued(&self, state: &ExchangeState) -> Option<CloseReason> {
+        match self.client.peer_state() {
+            PeerState::Open => None,
+            PeerState::Gone => Some(CloseReason::Reset),
+            // The request can't become complete if the client will send nothing more and the body is too short.
+            PeerState::SendingClosed if state.archived_body.is_none() => {
+                let arrived = state.unused_input.len() as u64 + self.client.unread_bytes();
+                let missing = self.announced_bytes.is_some_and(|announced| announced > arrived);
+                missing.then_some(CloseReason::Truncated)
+            }
+            PeerState::SendingClosed => None,
+        }
+    }
+
     pub(super) fn wake_upstream(&self) {
         if let Some(waker) = &*lock(&self.upstream_waker) {
             waker.wakeup();
@@ -143,11 +161,16 @@
             }),
             client: socket.clone(),
             handle: handle.clone(),
+            announced_bytes,
             upstream_waker: Mutex::default(),
         });
         let mut has_started = false;
         let outcome = loop {
-            if handle.is_admitted() && !std::mem::replace(&mut has_started, true) {
+            if handle.is_admitted() && !has_started {
+                if let Some(reason) = exchange.departure_while_queued(&lock(&exchange.state)) {
+                    break Outcome::ClientGone(reason);
+                }
+                has_started = true;
                 lock(&exchange.state).proxied.on_admitted();
                 self.spawn_upstream_side(&exchange, announced_bytes);
             }
@@ -333,11 +356,8 @@
         }
         let may_transfer = exchange.handle.is_admitted() || state.proxied.is_compared();
         if !may_transfer && !state.proxied.has_response_begun() {
-            if exchange.client.is_broken() {
-                state.outcome = Some(Outcome::ClientGone(CloseReason::Reset));
-                return Transfer::Over;
-            }
-            return Transfer::Blocked;
+            state.outcome = exchange.departure_while_queued(state).map(Outcome::ClientGone);
+            return if state.outcome.is_some() { Transfer::Over } else { Transfer::Blocked };
         }
         let allowance = lock(&self.manager).allowance(&exchange.handle);
         let mut report = TransferReport::default();
--- a/crates/frontends/stream/src/proxy/mod.rs
+++ b/crates/frontends/stream/src/proxy/mod.rs
@@ -8,7 +8,7 @@
 mod response_direction;
 mod upstream_connection;
 
-pub(crate) use exchange::ArchivedBody;
+pub(crate) use exchange::{ArchivedBody, BYTES_PER_TURN};
 
 use crate::request_manager::RequestManager;
 use crate::settings::StreamSettings;
@@ -19,6 +19,7 @@
 use lynxtally_net::connection_table::ConnectionTable;
 use lynxtally_net::fair_yield::FairYield;
 use lynxtally_net::listener::ListenerSet;
+use lynxtally_net::memory_account::MemoryAccount;
 use lynxtally_net::socket::Socket;
 use lynxtally_net::sync::{lock, Shared};
 use lynxtally_net::timer::Timer;
@@ -31,6 +32,12 @@
 /// The size of a coroutine's stack, in words.
 const STACK_WORDS: usize = 0x10000;
 
+/// What an open connection costs: the touched pages of its stack, its entries in tables, and the allowance.
+pub(crate) const CONNECTION_BYTES: usize = 12 * 1024;
+
+/// What a connection may hold of a request's head without a charge.
+pub(crate) const ALLOWANCE_BYTES: usize = 2 * 1024;
+
 /// The most bytes that one read takes from a socket.
 const SCRATCH_BYTES: usize = 128 * 1024;
 
@@ -45,10 +52,20 @@
 
 /// Lets other coroutines close the connection of a client.
 struct ConnectionHandle {
+    /// The connection is to be closed if it is between two requests.
     close: AtomicBool,
+    /// The connection is to be closed unless a request is open, even in the middle of a head.
+    is_evicted: AtomicBool,
     waker: WaitIoWaker,
 }
 
+impl ConnectionHandle {
+    fn evict(&self) {
+        self.is_evicted.store(true, Ordering::Relaxed);
+        self.waker.wakeup();
+    }
+}
+
 /// The state that all coroutines of a server share.
 pub struct Proxy<P> {
     /// The manager of all requests.
@@ -56,10 +73,11 @@
     pub(crate) settings: StreamSettings,
     clock: Clock,
     connections: ConnectionTable<Arc<ConnectionHandle>>,
+    account: Arc<MemoryAccount>,
     /// The listening sockets.
     pub listeners: ListenerSet,
     timer: Timer,
-    fair_yield: FairYield,
+    pub(crate) fair_yield: FairYield,
     /// The buffer for all reads. One is enough, because a single worker thread runs all coroutines.
     pub(crate) scratch: Shared<Vec<u8>>,
     /// The archive of resumable uploads, if the settings name a directory for it.
@@ -84,10 +102,12 @@
         fair_yield: FairYield,
         archive: Option<Arc<UploadArchive>>,
     ) -> Arc<Self> {
+        let account = manager.account().clone();
         Arc::new_cyclic(|weak_self| Self {
             manager: Mutex::new(manager),
             clock: Clock::default(),
             connections: ConnectionTable::new(settings.limits.connections),
+            account,
             listeners: ListenerSet::new(timer.clone()),
             timer,
             fair_yield,
--- a/crates/frontends/stream/src/request_manager.rs
+++ b/crates/frontends/stream/src/request_manager.rs
@@ -14,6 +14,7 @@
     AttemptState, CopyBudget, LinkScheduler, MemoryPool, ProgressMonitor, RetryPolicy, SizeEstimator,
     StreamId, UpstreamSelector,
 };
+use lynxtally_net::memory_account::MemoryAccount;
 use lynxtally_net::sync::lock;
 use may::io::WaitIoWaker;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -29,6 +30,9 @@
 /// Only the ratios between requests matter.
 const UNLIMITED_LINK_RATE: f64 = 1e8;
 
+/// About what the coroutine of a request's upstream side takes of memory.
+const COROUTINE_BYTES: usize = 12 * 1024;
+
 /// Messages from the manager to the coroutines of a request.
 #[derive(Default)]
 pub struct ManagerMessages {
@@ -355,6 +359,8 @@
     last_cpu_time: (Instant, f64),
     open_connections: f64,
     is_link_scarce: bool,
+    /// The memory of connections. What they hold is not available for windows above their floors.
+    account: Arc<MemoryAccount>,
 }
 
 /// CPU time that this process has used, in seconds.
@@ -387,6 +393,7 @@
         };
         let link = (settings.limits.link_mbit > 0.0).then(|| LinkScheduler::new(rate, now));
         let mut engine = Engine::new((settings.limits.results_kb << 10) as usize);
+        engine.set_max_key_bytes(settings.idempotency_key_bytes);
         engine.start(now, scheduler);
         engine.set_timer(now + TICK, TimerKind::Tick);
         let copies = CopyBudget::new(settings.limits.spool_kb << 10, settings.limits.spool_each_kb << 10);
@@ -417,9 +424,15 @@
             last_cpu_time: (now, cpu_seconds()),
             open_connections: 0.0,
             is_link_scarce,
+            account: MemoryAccount::new(settings.connection_memory),
         }
     }
 
+    /// The account of the memory that connections hold.
+    pub fn account(&self) -> &Arc<MemoryAccount> {
+        &self.account
+    }
+
     /// The engine's counts of requests received and of how they ended.
     pub fn request_counts(&self) -> RequestCounts {
         self.engine.counts()
@@ -468,6 +481,9 @@
 
     fn tick(&mut self, now: Instant) {
         self.engine.set_timer(now + TICK, TimerKind::Tick);
+        let running = self.resources.running.iter().flatten().count();
+        let unavailable = self.account.used() + running * COROUTINE_BYTES;
+        self.resources.memory.set_unavailable(unavailable as u64);
         self.resources.memory.rebalance(now);
         self.resources.counts.max_held_bytes =
             self.resources.counts.max_held_bytes.max(self.resources.memory.held_bytes());
--- a/crates/frontends/stream/src/resumable_upload.rs
+++ b/crates/frontends/stream/src/resumable_upload.rs
@@ -7,7 +7,7 @@
 use crate::http::{BodyUse, ConnectionUse, Framing, LocalResponse, MessageError, RequestHead, UploadState};
 use crate::idempotency::request_identity;
 use crate::proxied_request::ProxiedRequest;
-use crate::proxy::{caller_number, AfterRequest, ArchivedBody, Proxy};
+use crate::proxy::{caller_number, AfterRequest, ArchivedBody, Proxy, BYTES_PER_TURN};
 use crate::request_manager::{RequestHandle, RequestInfo, TransferReport};
 use crate::upload_archive::{unix_seconds, ArchiveError, OperationResult, PendingOperation, UploadArchive};
 use lynxtally_engine::{ContentFingerprint, FinalResponse, RunEnd, Scheduler};
@@ -164,11 +164,15 @@
                 return self.respond(socket, &request, &local_response(&response, None), has_no_body);
             }
             if socket.is_broken() {
-                self.with_manager(|manager, now| manager.client_gone(now, &handle));
-                return AfterRequest::Close(CloseReason::Reset);
+                break;
             }
             socket.wait();
         }
+        // Nothing is begun for a client that is gone.
+        if socket.is_broken() {
+            self.with_manager(|manager, now| manager.client_gone(now, &handle));
+            return AfterRequest::Close(CloseReason::Reset);
+        }
         match (upload_id, request.method.as_str()) {
             (Some(id), "PATCH") => self.resume_upload(archive, socket, &handle, id, &request, received),
             (Some(id), method) => {
@@ -430,6 +434,7 @@
     ) -> ReceiveOutcome {
         let (archive, socket, handle, id) = (writer.archive, writer.socket, writer.handle, writer.id);
         let mut pending_append: Option<(usize, PendingOperation)> = None;
+        let mut bytes_in_turn = 0;
         if request.known.expects_continue && request.framing != Framing::Empty && received.is_empty() {
             if let Err(reason) = self.write_all(socket, crate::http::CONTINUE_RESPONSE) {
                 return ReceiveOutcome::ClientGone(reason);
@@ -470,6 +475,7 @@
                 if !bytes.is_empty() {
                     progressed = true;
                     report.received_from_client = bytes.len() as u64;
+                    bytes_in_turn += bytes.len();
                     match pipe.receive(&bytes, room) {
                         Ok(used) => drop(received.splice(..0, bytes[used..].iter().copied())),
                         Err(error) => {
@@ -496,7 +502,11 @@
                 return ReceiveOutcome::Complete;
             }
             if !progressed {
+                bytes_in_turn = 0;
                 socket.wait();
+            } else if bytes_in_turn >= BYTES_PER_TURN {
+                bytes_in_turn = 0;
+                self.fair_yield.yield_on(socket);
             }
         }
     }
--- a/crates/frontends/stream/src/settings.rs
+++ b/crates/frontends/stream/src/settings.rs
@@ -6,9 +6,12 @@
 
 use crate::http::{MessageError, RequestHead};
 use crate::proxied_request::ForwardingSettings;
+use crate::proxy::{ALLOWANCE_BYTES, CONNECTION_BYTES};
 use lynxtally::{CapacityFormat, Downstream, Effect, RequestClass, Settings, Span};
 use lynxtally_flow::coding::{Coding, GrowthLimit};
 use lynxtally_flow::uploads::UploadLimits;
+use lynxtally_net::memory_account::AccountLimits;
+
 use lynxtally_flow::{MemoryLimits, ProgressLimits, UpstreamLimits};
 use lynxtally_settings::SettingError;
 use serde::Deserialize;
@@ -297,6 +300,10 @@
     pub limits: Limits,
     /// Limits of the memory that streams share.
     pub memory: MemoryLimits,
+    /// Limits of the memory that connections hold.
+    pub connection_memory: AccountLimits,
+    /// The most memory for idempotency keys, in bytes.
+    pub idempotency_key_bytes: usize,
     /// The progress that a stream has to make.
     pub progress: ProgressLimits,
     /// The limits by which failing upstreams are ejected.
@@ -412,6 +419,14 @@
         }
         Ok(StreamSettings {
             scheduling: self.scheduling(),
+            idempotency_key_bytes: ((limits.memory_mb << 20) / IDEMPOTENCY_KEYS_DIVISOR) as usize,
+            // The half of the memory that is not reserved for floors is shared by connections and windows.
+            connection_memory: AccountLimits {
+                total: ((limits.memory_mb << 20) / 2) as usize,
+                max_connections: limits.connections,
+                per_connection: CONNECTION_BYTES,
+                allowance: ALLOWANCE_BYTES,
+            },
             memory: MemoryLimits {
                 total: limits.memory_mb << 20,
                 reserved: (limits.memory_mb << 20) / 2,
@@ -435,6 +450,7 @@
             upload_limits: UploadLimits {
                 tenant_bytes: limits.uploads_mb << 20,
                 total_bytes: limits.uploads_all_mb << 20,
+                record_bytes: (limits.memory_mb << 20) / UPLOAD_RECORDS_DIVISOR,
                 expiry_secs: limits.uploads_s,
             },
             listen: self.listen,
@@ -578,6 +594,12 @@
     }
 }
 
+/// The part of the memory for idempotency keys is one over this.
+const IDEMPOTENCY_KEYS_DIVISOR: u64 = 8;
+
+/// The part of the memory for the records of open uploads is one over this.
+const UPLOAD_RECORDS_DIVISOR: u64 = 16;
+
 /// The longest response, in bytes, that is kept to answer duplicates of a request with an idempotency key.
 const MAX_RESPONSE_COPY_BYTES: usize = 64 * 1024;
 
