--- a/crates/lynxtally-coordinator/src/net/mod.rs
+++ b/crates/lynxtally-coordinator/src/net/mod.rs
@@ -1,6 +1,8 @@
 //! The network interface of a coordinator for nodes, operators and other coordinators: HTTP/1.1 with JSON bodies.
 
+mod body;
 mod client;
+mod connections;
 mod peers;
 mod server;
 mod state_report;
--- a/crates/lynxtally-coordinator/src/net/server.rs
+++ b/crates/lynxtally-coordinator/src/net/server.rs
@@ -1,13 +1,16 @@
 //! The HTTP server of a coordinator. Nodes use `/v1/say`, operators `/v1/order` and `/v1/state`, and other coordinators
 //! `/v1/check` and the paths below `/v1/raft`.
 
+use super::body::ReceivedBody;
+use super::connections::{self, ConnectionHandle};
 use super::{state_report, AcknowledgedIndex, StartupCheck, MAX_PEER_MESSAGE_BYTES};
 use crate::leader::{Leader, WriteError};
 use crate::store::SharedState;
 use crate::Raft;
 use axum::body::Bytes;
-use axum::extract::{DefaultBodyLimit, State};
+use axum::extract::{DefaultBodyLimit, Request, State};
 use axum::http::StatusCode;
+use axum::middleware::{self, Next};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
@@ -50,28 +53,42 @@
 }
 
 /// Serves requests until `shutdown` completes and the pending requests have their responses.
-///
-/// # Errors
-/// The listener failed.
 pub async fn serve(
     listener: TcpListener,
     state: ServerState,
     shutdown: impl Future<Output = ()> + Send + 'static,
-) -> std::io::Result<()> {
+) {
     let raft_routes = Router::new()
         .route("/v1/raft/append", post(append_entries))
         .route("/v1/raft/vote", post(vote))
         .route("/v1/raft/snapshot", post(install_snapshot))
-        .layer(DefaultBodyLimit::max(MAX_PEER_MESSAGE_BYTES));
+        .layer(middleware::from_fn(|request, next| receive(request, next, MAX_PEER_MESSAGE_BYTES)));
     let routes = Router::new()
         .route("/v1/say", post(node_request))
         .route("/v1/order", post(admin_request))
         .route("/v1/state", get(report_state))
         .route("/v1/check", post(startup_check))
-        .layer(DefaultBodyLimit::max(MAX_MESSAGE_BYTES))
+        .layer(middleware::from_fn(|request, next| receive(request, next, MAX_MESSAGE_BYTES)))
         .merge(raft_routes)
+        // The bodies are received, and so limited, before the handlers.
+        .layer(DefaultBodyLimit::disable())
         .with_state(state);
-    axum::serve(listener, routes).with_graceful_shutdown(shutdown).await
+    connections::serve(listener, routes, shutdown).await;
+}
+
+/// Receives the whole body of a request within its limits, then has the request handled.
+async fn receive(request: Request, next: Next, max_bytes: usize) -> Response {
+    let connection = request.extensions().get::<ConnectionHandle>().cloned();
+    let (parts, body) = request.into_parts();
+    let received = ReceivedBody::read(Request::from_parts(parts.clone(), body), max_bytes).await;
+    let received = match received {
+        Ok(received) => received,
+        Err(error) => return error.into_response(),
+    };
+    connection.iter().for_each(|connection| connection.set_busy(true));
+    let response = received.handle(|bytes| next.run(Request::from_parts(parts, bytes.into()))).await;
+    connection.iter().for_each(|connection| connection.set_busy(false));
+    response
 }
 
 impl From<WriteError> for Rejection {
