--- a/crates/frontends/stream/src/proxy/client_connection.rs
+++ b/crates/frontends/stream/src/proxy/client_connection.rs
@@ -161,13 +161,13 @@
                 self.reserve(socket, charge, held)?;
                 return Ok(request);
             }
-            let outcome = self.read_head_bytes(socket, received, charge)?;
-            let state = if received.is_empty() { ConnectionState::Idle } else { ConnectionState::Receiving };
-            self.connections.set_state(*number, state);
-            if !received.is_empty() || blank_bytes > 0 {
+            if received.is_empty() {
+                self.connections.set_state(*number, ConnectionState::Idle);
+            } else {
+                self.connections.set_state(*number, ConnectionState::Receiving);
                 self.check_head_time(socket, &mut head_start)?;
             }
-            match outcome {
+            match self.read_head_bytes(socket, received, charge)? {
                 ReadOutcome::Bytes(bytes) if bytes_in_turn + bytes <= MAX_HEAD_BYTES => {
                     bytes_in_turn += bytes
                 }
