--- a/crates/frontends/stream/src/request_manager.rs
+++ b/crates/frontends/stream/src/request_manager/mod.rs
@@ -4,22 +4,32 @@
 //! The proxy's coroutines report events to the [`RequestManager`] under a lock and ask it what they may do. It never
 //! blocks: it performs no I/O, and wakes the coroutine of a request's client when there is something for it.
 
-use crate::settings::{ClassSettings, StreamSettings};
+mod counts;
+mod handle;
+mod resources;
+mod responder;
+mod transfer;
+
+pub use counts::StreamCounts;
+pub use handle::{ManagerMessages, RequestHandle};
+pub use resources::StreamResources;
+pub use responder::ResponseDelivery;
+pub use transfer::{TransferAllowance, TransferReport};
+
+use crate::settings::StreamSettings;
 use lynxtally::{CallOutcome, Effect, Gauges, Instant, RequestId, Span};
 use lynxtally_engine::{
-    Engine, Executor, FinalResponse, Fingerprint, IncomingRequest, RequestCounts, RequestIdentity, Responder,
-    RunEnd, Scheduler,
+    Engine, Fingerprint, IncomingRequest, RequestCounts, RequestIdentity, RunEnd, Scheduler,
 };
 use lynxtally_flow::{
     AttemptState, CopyBudget, LinkScheduler, MemoryPool, ProgressMonitor, RetryPolicy, SizeEstimator,
-    StreamId, UpstreamSelector,
+    UpstreamSelector,
 };
 use lynxtally_net::memory_account::MemoryAccount;
-use lynxtally_net::sync::lock;
-use may::io::WaitIoWaker;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
-use tracing::{info, warn};
+use resources::{client_stream, upstream_stream, PeerWait};
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use tracing::warn;
 
 /// How often memory is rebalanced and stalled or late streams are looked for.
 const TICK: Span = Span::from_millis(50);
@@ -33,133 +43,6 @@
 /// About what the coroutine of a request's upstream side takes of memory.
 const COROUTINE_BYTES: usize = 12 * 1024;
 
-/// Messages from the manager to the coroutines of a request.
-#[derive(Default)]
-pub struct ManagerMessages {
-    /// The request was admitted.
-    pub admitted: bool,
-    /// The request is not run. Its body is received to compare the request with an earlier one.
-    pub is_compared: bool,
-    /// The final response, if it is not the upstream's.
-    pub response: Option<FinalResponse>,
-}
-
-/// A request, as shared by the manager and the request's coroutines.
-pub struct RequestHandle {
-    messages: Mutex<ManagerMessages>,
-    client_waker: WaitIoWaker,
-    id: AtomicU32,
-    /// The run has ended, so the engine may have given the request's id to another request.
-    ended: AtomicBool,
-    /// The index of the request class.
-    pub class: usize,
-}
-
-impl RequestHandle {
-    /// Creates the handle of a request that is not submitted yet; `client_waker` wakes the client's coroutine.
-    pub fn new(class: usize, client_waker: WaitIoWaker) -> Self {
-        Self {
-            messages: Mutex::default(),
-            client_waker,
-            id: AtomicU32::new(u32::MAX),
-            ended: AtomicBool::new(false),
-            class,
-        }
-    }
-
-    fn id(&self) -> RequestId {
-        RequestId(self.id.load(Ordering::Relaxed))
-    }
-
-    /// The request's id, while the request is admitted and its run has not ended.
-    fn running_id(&self) -> Option<RequestId> {
-        (!self.ended.load(Ordering::Relaxed) && self.is_admitted()).then(|| self.id())
-    }
-
-    /// Whether the request was admitted.
-    pub fn is_admitted(&self) -> bool {
-        lock(&self.messages).admitted
-    }
-
-    /// Whether the request's body is received only to compare the request with an earlier one.
-    pub fn is_compared(&self) -> bool {
-        lock(&self.messages).is_compared
-    }
-
-    /// Takes the final response, if there is one that is not the upstream's.
-    pub fn take_response(&self) -> Option<FinalResponse> {
-        lock(&self.messages).response.take()
-    }
-
-    /// Whether a final response waits to be taken.
-    pub fn has_response(&self) -> bool {
-        lock(&self.messages).response.is_some()
-    }
-
-    /// Wakes the coroutine of the request's client.
-    pub fn wake_client(&self) {
-        self.client_waker.wakeup();
-    }
-}
-
-/// Whether a request waits for its client or its upstream. The scheduler sees such a wait as a downstream call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum PeerWait {
-    NotWaiting,
-    /// The wait was reported to the scheduler, which has not started a call for it yet.
-    Requested,
-    /// The scheduler has started the call with this number.
-    InCall(u64),
-}
-
-/// An admitted request whose run has not ended.
-struct RunningRequest {
-    handle: Arc<RequestHandle>,
-    /// Whether any bytes were transferred since the last tick.
-    has_moved: bool,
-    peer_wait: PeerWait,
-    upstream: Option<usize>,
-    /// Bytes that count as outstanding at the upstream.
-    expected_bytes: u64,
-    attempt_start: Instant,
-    /// Bytes that both receivers took since the upstream was chosen.
-    attempt_bytes: u64,
-    /// The client has to send more of the body before the request can go on.
-    awaits_client_body: bool,
-    /// One of the request's streams has made too little progress for too long.
-    is_late: bool,
-}
-
-/// What a request has transferred since its last report, and what it holds, in bytes.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct TransferReport {
-    /// Held for the upstream.
-    pub held_for_upstream: u64,
-    /// Written to the upstream since the last report.
-    pub written_to_upstream: u64,
-    /// Held for the client.
-    pub held_for_client: u64,
-    /// Written to the client since the last report.
-    pub written_to_client: u64,
-    /// Received from the client since the last report.
-    pub received_from_client: u64,
-    /// Whether the client has to send more of the body and there is room for it.
-    pub awaits_client_body: bool,
-    /// Whether bytes for the client wait for a turn on the scarce link.
-    pub needs_link_turn: bool,
-}
-
-/// What a request may hold and send now, in bytes.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct TransferAllowance {
-    /// The most that may be held for the upstream.
-    pub upstream_window: u64,
-    /// The most that may be held for the client.
-    pub client_window: u64,
-    /// The most that may be sent to the client; `None` if the link is not scarce.
-    pub link_credit: Option<u64>,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum TimerKind {
     Tick,
@@ -167,184 +50,6 @@
     GrantLink,
 }
 
-/// Counters of a stream server, beside those of the engine.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct StreamCounts {
-    /// Requests sent again to another upstream.
-    pub retried: u64,
-    /// Downloads resumed from another upstream.
-    pub resumed: u64,
-    /// Ejections of upstreams.
-    pub ejected_upstreams: u64,
-    /// Requests ended because they made too little progress while memory was scarce.
-    pub late: u64,
-    /// Bytes written to upstreams.
-    pub bytes_to_upstreams: u64,
-    /// Bytes written to clients.
-    pub bytes_to_clients: u64,
-    /// Responses cut off after they had begun.
-    pub cut_responses: u64,
-    /// Messages from clients that were refused as invalid.
-    pub invalid_messages: u64,
-    /// Duplicates that got the response to an earlier request.
-    pub replayed: u64,
-    /// Requests that were refused because their idempotency key belongs to another request.
-    pub key_conflicts: u64,
-    /// The most bytes that all streams have held at one time.
-    pub max_held_bytes: u64,
-}
-
-/// The resources that all requests share, the policies that divide them, and the state of each running request.
-pub struct StreamResources {
-    memory: MemoryPool,
-    progress: ProgressMonitor,
-    upstreams: UpstreamSelector,
-    retries: RetryPolicy,
-    copies: CopyBudget,
-    /// The link to clients, if it is scarce.
-    link: Option<LinkScheduler>,
-    sizes: SizeEstimator,
-    /// The transfer rate, in bytes per second, by which expected bytes are converted to expected work.
-    rate: f64,
-    /// The running requests, by their ids.
-    running: Vec<Option<RunningRequest>>,
-    /// Calls that the scheduler has cancelled and whose ends are not reported to it yet.
-    cancelled_calls: Vec<(RequestId, u64)>,
-    gauges_requested: bool,
-    /// Whether the timer that grants turns on the link is set.
-    grant_timer_set: bool,
-    classes: Vec<ClassSettings>,
-    now: Instant,
-    /// Counters.
-    pub counts: StreamCounts,
-}
-
-/// The stream from a request's client to its upstream.
-fn upstream_stream(id: RequestId) -> StreamId {
-    StreamId(id.0 * 2)
-}
-
-/// The stream from a request's upstream to its client.
-fn client_stream(id: RequestId) -> StreamId {
-    StreamId(id.0 * 2 + 1)
-}
-
-impl StreamResources {
-    fn admit(&mut self, id: RequestId, handle: &Arc<RequestHandle>) -> bool {
-        let weight = self.classes.get(handle.class).map_or(1.0, |class| class.utility);
-        if !self.memory.admit(upstream_stream(id), weight) {
-            return false;
-        }
-        if !self.memory.admit(client_stream(id), weight) {
-            self.memory.remove(upstream_stream(id));
-            return false;
-        }
-        if let Some(link) = &mut self.link {
-            link.add(client_stream(id), weight);
-        }
-        self.progress.add(self.now, upstream_stream(id));
-        self.progress.add(self.now, client_stream(id));
-        let index = id.0 as usize;
-        if self.running.len() <= index {
-            self.running.resize_with(index + 1, || None);
-        }
-        self.running[index] = Some(RunningRequest {
-            handle: handle.clone(),
-            has_moved: true,
-            peer_wait: PeerWait::NotWaiting,
-            upstream: None,
-            expected_bytes: 0,
-            attempt_start: self.now,
-            attempt_bytes: 0,
-            awaits_client_body: false,
-            is_late: false,
-        });
-        lock(&handle.messages).admitted = true;
-        handle.wake_client();
-        true
-    }
-
-    fn running_mut(&mut self, id: RequestId) -> Option<&mut RunningRequest> {
-        self.running.get_mut(id.0 as usize)?.as_mut()
-    }
-
-    /// Releases all resources that a request holds.
-    fn release_all(&mut self, id: RequestId) -> Option<RunningRequest> {
-        let request = self.running.get_mut(id.0 as usize)?.take()?;
-        for stream in [upstream_stream(id), client_stream(id)] {
-            self.memory.remove(stream);
-            self.progress.remove(stream);
-            self.copies.release(stream);
-        }
-        if let Some(link) = &mut self.link {
-            link.remove(client_stream(id));
-        }
-        Some(request)
-    }
-
-    fn expected_work(&self, bytes: u64) -> Span {
-        Span::from_secs((bytes as f64 / self.rate).max(1e-6))
-    }
-}
-
-impl Executor<Arc<RequestHandle>> for StreamResources {
-    fn start(&mut self, id: RequestId, handle: &mut Arc<RequestHandle>) {
-        // The scheduler's memory limit is the part of the pool reserved for floors, so the pool has room for every
-        // request that the scheduler starts.
-        let admitted = self.admit(id, handle);
-        debug_assert!(admitted, "the scheduler started more requests than the memory pool has floors for");
-    }
-
-    fn stop(&mut self, _: RequestId, _: &mut Arc<RequestHandle>) {}
-
-    fn start_call(&mut self, id: RequestId, _: &mut Arc<RequestHandle>, number: u64, _: Span) -> bool {
-        match self.running_mut(id) {
-            Some(request) => {
-                request.peer_wait = PeerWait::InCall(number);
-                true
-            }
-            None => false,
-        }
-    }
-
-    fn cancel_call(&mut self, handle: &mut Arc<RequestHandle>, number: u64) {
-        self.cancelled_calls.push((handle.id(), number));
-    }
-
-    fn receive_content(&mut self, _: RequestId, handle: &mut Arc<RequestHandle>) {
-        lock(&handle.messages).is_compared = true;
-        handle.wake_client();
-    }
-
-    fn request_gauges(&mut self) {
-        self.gauges_requested = true;
-    }
-
-    fn release(&mut self, id: RequestId, _: Arc<RequestHandle>) {
-        self.release_all(id);
-    }
-}
-
-/// Hands final responses to the coroutines of their requests.
-pub struct ResponseDelivery;
-
-impl Responder<Arc<RequestHandle>> for ResponseDelivery {
-    fn respond(&mut self, handle: Arc<RequestHandle>, response: FinalResponse) -> bool {
-        let mut messages = lock(&handle.messages);
-        // For an admitted request that completed, the upstream's response has already gone to the client.
-        if !(messages.admitted && matches!(response, FinalResponse::Completed(_))) {
-            messages.response = Some(response);
-            drop(messages);
-            handle.wake_client();
-        }
-        true
-    }
-
-    fn log(&mut self, text: &str) {
-        info!("{text}");
-    }
-}
-
 /// Manages all requests of a server.
 pub struct RequestManager<P> {
     engine: Engine<P, Arc<RequestHandle>, Arc<RequestHandle>, TimerKind>,
@@ -783,9 +488,3 @@
         })
     }
 }
-
-impl StreamResources {
-    fn floor_bytes(&self) -> u64 {
-        self.memory.floor_bytes()
-    }
-}
