--- a/crates/core/engine/src/deduplication.rs
+++ b/crates/core/engine/src/deduplication.rs
@@ -173,6 +173,16 @@
         self.max_key_bytes = max_key_bytes;
     }
 
+    /// Whether a request with this identity that arrived at `arrived_at` would duplicate an earlier one, or conflict with it.
+    pub fn is_known(&self, arrived_at: Instant, identity: &RequestIdentity) -> bool {
+        self.entries.get(identity.key()).is_some_and(|entry| entry.applies_to(arrived_at))
+    }
+
+    /// Whether this open request is the first with its key.
+    pub fn is_first(&self, key: &IdempotencyKey, request: RequestId) -> bool {
+        self.entries.get(key).is_some_and(|entry| entry.request == request && !entry.released)
+    }
+
     /// Whether a request with this identity can be registered. A key that is remembered already always can.
     pub fn has_room_for(&self, identity: &RequestIdentity) -> bool {
         let key = identity.key();
@@ -244,12 +254,22 @@
     /// Forgets a key, if `request` is the one that holds it, so that the next request with this key runs. Returns the
     /// duplicates that waited; they fail.
     pub fn release_key(&mut self, key: &IdempotencyKey, request: RequestId) -> Vec<SettledDuplicate> {
-        if self.entries.get(key).is_some_and(|entry| entry.request == request) {
+        // A released id may have been assigned to a duplicate of the request that had it before.
+        if self.entries.get(key).is_some_and(|entry| entry.request == request && !entry.released) {
             return self.remove(key);
         }
         Vec::new()
     }
 
+    /// Forgets a key whose first run has ended, so that the next request with this key runs. Duplicates that wait to be
+    /// compared keep the key in use.
+    pub fn forget_result(&mut self, key: &IdempotencyKey) {
+        let has_ended = |entry: &Entry| entry.first_run != FirstRun::Open && entry.waiting.is_empty();
+        if self.entries.get(key).is_some_and(has_ended) {
+            self.remove(key);
+        }
+    }
+
     /// Makes a duplicate share the result of the first run. Returns the duplicate if it can be responded to now; otherwise
     /// it waits until the first run has ended and its own content has been received.
     pub fn coalesce(&mut self, identity: &RequestIdentity, request: RequestId) -> Option<SettledDuplicate> {
--- a/crates/core/engine/src/identity.rs
+++ b/crates/core/engine/src/identity.rs
@@ -1,6 +1,6 @@
 //! What a request and its duplicates have in common, and no other request.
 //!
-//! An identity can be built in two ways only. Both say whose requests may be duplicates of one another and what their
+//! An identity can be built in three ways only. Each says whose requests may be duplicates of one another and what their
 //! content is: neither the owner of an idempotency key nor the content can be left out by mistake. If one were, a client
 //! that copies or guesses a key would get the result of another client's request.
 
@@ -34,6 +34,8 @@
     NoTenant,
     /// The requests of all tenants.
     AllTenants,
+    /// The requests that address this stored upload.
+    Upload(u64),
 }
 
 /// The key by which duplicates are recognized.
@@ -81,6 +83,13 @@
         Self { key, content: ContentFingerprint::Known(Fingerprint::default()) }
     }
 
+    /// The identity of the requests that execute a stored upload. Its content does not change any more, so it is the same
+    /// for all of them.
+    pub fn of_upload(class: usize, upload: u64) -> Self {
+        let key = IdempotencyKey { class, scope: KeyScope::Upload(upload), value: String::new() };
+        Self { key, content: ContentFingerprint::Known(Fingerprint::default()) }
+    }
+
     /// The key by which duplicates are recognized.
     pub fn key(&self) -> &IdempotencyKey {
         &self.key
--- a/crates/core/engine/src/lib.rs
+++ b/crates/core/engine/src/lib.rs
@@ -21,6 +21,7 @@
 //! | `actions` | execution of the scheduler's actions; final responses and their price |
 //! | `request` | submitted requests and the table of open requests |
 //! | `identity` | what a request and its duplicates have in common |
+//! | `late_identity` | identities of requests that were already started |
 //! | `deduplication` | recognition of duplicates, and retained results |
 //! | `wallets` | prices that are reserved and settled |
 //! | `timers` | all timers, and the maximum age of gauges |
@@ -36,6 +37,7 @@
 mod engine;
 mod executor;
 mod identity;
+mod late_identity;
 mod request;
 mod response;
 mod scheduler;
@@ -47,6 +49,7 @@
 pub use engine::Engine;
 pub use executor::{Executor, RunEnd};
 pub use identity::{ContentFingerprint, Fingerprint, IdempotencyKey, RequestIdentity};
+pub use late_identity::{Identified, IdentityRefusal};
 pub use request::{IncomingRequest, Rejection, RejectionReason};
 pub use response::{FinalResponse, Responder};
 pub use scheduler::Scheduler;
--- a/crates/core/engine/tests/engine.rs
+++ b/crates/core/engine/tests/engine.rs
@@ -526,3 +526,67 @@
     harness.advance(20_000);
     assert_eq!(keyed(&mut harness, "another"), Ok(()), "the earlier keys have expired");
 }
+
+/// Guards against a second execution of a request whose content arrived in parts, so that it got its identity after it was
+/// started: the duplicate waits for the first run, and gets its result.
+#[test]
+fn a_started_request_that_gets_a_known_identity_gets_the_response_of_the_first_run() {
+    let mut harness = Harness::new();
+    let retained_for = Span::from_millis(5000);
+    let identify = |harness: &mut Harness, request, content| {
+        let (now, identity) = (harness.now(), identity(0, "k", content));
+        harness.engine.identify(now, request, identity, retained_for, &mut harness.responses)
+    };
+    let start = |harness: &mut Harness, caller: u32| {
+        let request = harness.submit_to_class(&format!("r{caller}"), caller, 0, None).expect("accepted");
+        harness.advance(0);
+        assert_eq!(harness.executor.running.last(), Some(&request));
+        request
+    };
+    let (first, second) = (start(&mut harness, 0), start(&mut harness, 1));
+    assert_eq!(identify(&mut harness, first, 1), Ok(Identified::FirstRun));
+    assert_eq!(identify(&mut harness, first, 1), Err(IdentityRefusal::NotOpen), "it has an identity");
+    assert_eq!(identify(&mut harness, second, 1), Ok(Identified::Duplicate));
+    assert!(harness.engine.is_identity_known(harness.now(), &identity(0, "k", 1)));
+    harness.end(first, RunEnd::Completed(b"r".to_vec()));
+    let result = || FinalResponse::Completed(b"r".to_vec());
+    assert_eq!(harness.responses.0, [(1, result()), (0, result())]);
+    // Later ones get the result too, but not one with other content.
+    let (other, third) = (start(&mut harness, 2), start(&mut harness, 3));
+    assert_eq!(identify(&mut harness, other, 2), Err(IdentityRefusal::KeyConflict));
+    assert_eq!(identify(&mut harness, third, 1), Ok(Identified::Duplicate));
+    assert_eq!(harness.responses.0.last(), Some(&(3, result())));
+    assert_eq!(harness.engine.counts().completed, 3);
+}
+
+/// Guards against a client that can't get its request executed any more, although nothing was: the run with its key ended
+/// without reaching its executor, or its result was forgotten on purpose.
+#[test]
+fn a_key_whose_run_did_nothing_or_was_forgotten_may_be_used_again() {
+    let mut harness = Harness::new();
+    let mut identify_next = |end: Option<RunEnd>| {
+        let request = harness.submit_to_class("r", 1, 0, None).expect("accepted");
+        harness.advance(0);
+        let now = harness.now();
+        let retained_for = Span::from_millis(5000);
+        let identified =
+            harness.engine.identify(now, request, identity(0, "k", 1), retained_for, &mut harness.responses);
+        let is_first = identified == Ok(Identified::FirstRun);
+        match end {
+            Some(end) => harness.end(request, end),
+            None => {
+                harness.engine.forget_result(&identity(0, "k", 1));
+                assert!(harness.engine.is_identity_known(now, &identity(0, "k", 1)), "the run is open");
+                harness.end(request, RunEnd::Failed);
+                harness.engine.forget_result(&identity(0, "k", 1));
+            }
+        }
+        // The name of a started request is in use for two minutes.
+        harness.advance(130_000);
+        is_first
+    };
+    assert!(identify_next(Some(RunEnd::Unavailable(Span::from_millis(1)))));
+    assert!(identify_next(Some(RunEnd::NotStarted)));
+    assert!(identify_next(None));
+    assert!(identify_next(Some(RunEnd::Failed)));
+}
--- a/crates/core/flow/src/uploads.rs
+++ b/crates/core/flow/src/uploads/mod.rs
@@ -1,13 +1,24 @@
 //! State of resumable uploads (draft-ietf-httpbis-resumable-upload-05): the offset of each upload, which connection may
-//! write to it, the storage quotas, and when an upload expires. Changes that must survive a restart are returned as
-//! [`Entry`] values for a log, and [`Uploads::replay`] restores the state from them.
+//! write to it, whether it may be forwarded to an upstream ([`lifecycle`]), the storage quotas, and when an upload expires.
+//! Changes that must survive a restart are returned as [`Entry`] values for a log, and [`Uploads::replay`] restores the
+//! state from them.
 
-use serde::{Deserialize, Serialize};
+mod entry;
+mod forwards;
+pub mod lifecycle;
+
+pub use entry::{Entry, Upload};
+pub use forwards::{BegunForward, ForwardRefusal, UploadCounts};
+use lifecycle::{Forward, UploadPhase};
+use lynxtally::Effect;
 use std::collections::BTreeMap;
 
 /// Identifies an upload.
 pub type UploadId = u64;
 
+/// A digest of the content of an upload.
+pub type Fingerprint = [u8; 32];
+
 /// Limits of resumable uploads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UploadLimits {
@@ -22,58 +33,6 @@
     pub expiry_secs: u64,
 }
 
-/// A resumable upload.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Upload {
-    /// The name of the tenant; empty if the request named none.
-    #[serde(rename = "customer")]
-    pub tenant: String,
-    /// The head of the request that is sent to the upstream once the upload is complete.
-    #[serde(rename = "what")]
-    pub request_head: Vec<u8>,
-    /// The length of the whole upload, if the client has announced it.
-    pub length: Option<u64>,
-    /// The number of bytes received so far.
-    pub offset: u64,
-    /// CRC-32C of the bytes received so far.
-    #[serde(rename = "sum")]
-    pub checksum: u32,
-    /// When bytes were last received, in Unix seconds.
-    #[serde(rename = "touched")]
-    pub updated_secs: u64,
-    /// Whether all bytes were received.
-    #[serde(rename = "whole")]
-    pub is_complete: bool,
-}
-
-/// A change that must survive a restart. Stored in the log of uploads.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Entry {
-    /// An upload was created.
-    #[serde(rename = "Begun")]
-    Created(UploadId, Upload),
-    /// An upload received bytes.
-    #[serde(rename = "Moved")]
-    Advanced {
-        /// Identifies the upload.
-        id: UploadId,
-        /// The number of bytes received so far.
-        offset: u64,
-        /// CRC-32C of the bytes received so far.
-        #[serde(rename = "sum")]
-        checksum: u32,
-        /// When bytes were last received, in Unix seconds.
-        #[serde(rename = "touched")]
-        updated_secs: u64,
-        /// Whether all bytes were received.
-        #[serde(rename = "whole")]
-        is_complete: bool,
-    },
-    /// An upload was removed.
-    #[serde(rename = "Gone")]
-    Removed(UploadId),
-}
-
 /// Why an operation on an upload is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UploadError {
@@ -87,6 +46,8 @@
     WrongLength,
     /// A storage quota would be exceeded.
     QuotaExceeded,
+    /// A forward of the upload has begun, so its bytes are final.
+    AlreadyForwarded,
 }
 
 #[derive(Clone, Debug)]
@@ -94,6 +55,29 @@
     upload: Upload,
     /// The number of the connection that took the upload over last. Only this writer may append.
     writer: u64,
+    forward: Forward,
+    /// The fingerprint of the content, once it was calculated in the life of this process.
+    fingerprint: Option<Fingerprint>,
+}
+
+impl State {
+    fn phase(&self) -> UploadPhase {
+        self.forward.phase(self.upload.is_complete)
+    }
+
+    /// Whether a forward is under way or has ended and no other one may begin.
+    fn is_forwarded(&self) -> bool {
+        matches!(self.phase(), UploadPhase::Forwarding | UploadPhase::Executed(_))
+    }
+
+    /// The bytes that the upload counts for in the quotas: those received, or the announced length if that is larger. An
+    /// upload that was executed has no bytes any more.
+    fn quota_bytes(&self) -> u64 {
+        if matches!(self.phase(), UploadPhase::Executed(_)) {
+            return 0;
+        }
+        self.upload.offset.max(self.upload.length.unwrap_or(0))
+    }
 }
 
 /// All resumable uploads.
@@ -105,6 +89,7 @@
     total_bytes: u64,
     record_bytes: u64,
     last_writer: u64,
+    last_forward: u64,
 }
 
 /// What the record of an upload takes in memory besides the names and the head in it: the record, its entries in tables,
@@ -116,11 +101,6 @@
     RECORD_OVERHEAD_BYTES + (upload.tenant.len() + upload.request_head.len()) as u64
 }
 
-/// The bytes that an upload counts for in the quotas: those received, or the announced length if that is larger.
-fn quota_bytes(upload: &Upload) -> u64 {
-    upload.offset.max(upload.length.unwrap_or(0))
-}
-
 impl Uploads {
     /// Creates the state without uploads.
     pub fn new(limits: UploadLimits) -> Self {
@@ -131,6 +111,7 @@
             total_bytes: 0,
             record_bytes: 0,
             last_writer: 0,
+            last_forward: 0,
         }
     }
 
@@ -158,21 +139,38 @@
         if self.uploads.contains_key(&id) {
             return Err(UploadError::TakenOver);
         }
-        let has_room = self.record_bytes + record_bytes(&upload) <= self.limits.record_bytes;
-        if !has_room || !self.fits_quotas(&upload.tenant, quota_bytes(&upload)) {
+        let state =
+            State { upload, writer: self.last_writer + 1, forward: Forward::NotBegun, fingerprint: None };
+        if !self.has_record_room(&state.upload)
+            || !self.fits_quotas(&state.upload.tenant, state.quota_bytes())
+        {
             return Err(UploadError::QuotaExceeded);
         }
         self.last_writer += 1;
-        let entry = Entry::Created(id, upload.clone());
-        self.insert(id, upload);
+        let entry = Entry::Created(id, state.upload.clone());
+        self.insert(id, state);
         Ok((entry, self.last_writer))
     }
 
-    fn insert(&mut self, id: UploadId, upload: Upload) {
-        let (tenant, added) = (upload.tenant.clone(), quota_bytes(&upload));
-        self.adjust_usage(&tenant, added, 0);
-        self.record_bytes += record_bytes(&upload);
-        self.uploads.insert(id, State { upload, writer: self.last_writer });
+    /// Whether there is memory for the record of another upload.
+    pub fn has_record_room(&self, upload: &Upload) -> bool {
+        self.record_bytes + record_bytes(upload) <= self.limits.record_bytes
+    }
+
+    fn insert(&mut self, id: UploadId, state: State) {
+        self.adjust_usage(&state.upload.tenant, state.quota_bytes(), 0);
+        self.record_bytes += record_bytes(&state.upload);
+        self.uploads.insert(id, state);
+    }
+
+    /// Changes an upload and the sums that depend on it. Returns `None` if the upload is unknown.
+    fn update<T>(&mut self, id: UploadId, change: impl FnOnce(&mut State) -> T) -> Option<T> {
+        let state = self.uploads.get_mut(&id)?;
+        let before = state.quota_bytes();
+        let result = change(state);
+        let (tenant, after) = (state.upload.tenant.clone(), state.quota_bytes());
+        self.adjust_usage(&tenant, after, before);
+        Some(result)
     }
 
     /// The upload with this id.
@@ -196,11 +194,15 @@
     /// Takes an upload over to append to it from `offset` on, and returns the number of the new writer.
     ///
     /// # Errors
-    /// [`UploadError::Unknown`] if no upload has this id, [`UploadError::WrongOffset`] if its offset is another.
+    /// [`UploadError::Unknown`] if no upload has this id, [`UploadError::WrongOffset`] if its offset is another,
+    /// [`UploadError::AlreadyForwarded`] if a forward of it has begun.
     pub fn resume(&mut self, id: UploadId, offset: u64) -> Result<u64, UploadError> {
-        let upload = self.get(id).ok_or(UploadError::Unknown)?;
-        if upload.offset != offset {
-            return Err(UploadError::WrongOffset(upload.offset));
+        let state = self.uploads.get(&id).ok_or(UploadError::Unknown)?;
+        if state.upload.offset != offset {
+            return Err(UploadError::WrongOffset(state.upload.offset));
+        }
+        if state.is_forwarded() {
+            return Err(UploadError::AlreadyForwarded);
         }
         self.take_over(id)
     }
@@ -212,17 +214,14 @@
     /// [`UploadError::QuotaExceeded`] if the length alone exceeds the quota of a tenant.
     pub fn set_length(&mut self, id: UploadId, length: u64) -> Result<(), UploadError> {
         let limits = self.limits;
-        let state = self.uploads.get_mut(&id).ok_or(UploadError::Unknown)?;
+        let state = self.uploads.get(&id).ok_or(UploadError::Unknown)?;
         match state.upload.length {
             Some(announced) if announced != length => Err(UploadError::WrongLength),
             _ if length < state.upload.offset => Err(UploadError::WrongLength),
             Some(_) => Ok(()),
             None if length > limits.tenant_bytes => Err(UploadError::QuotaExceeded),
             None => {
-                let (tenant, before) = (state.upload.tenant.clone(), quota_bytes(&state.upload));
-                state.upload.length = Some(length);
-                let added = quota_bytes(&state.upload) - before;
-                self.adjust_usage(&tenant, added, 0);
+                self.update(id, |state| state.upload.length = Some(length));
                 Ok(())
             }
         }
@@ -245,17 +244,20 @@
             return Err(UploadError::TakenOver);
         }
         let offset = state.upload.offset + bytes;
-        if state.upload.length.is_some_and(|length| offset > length) {
+        if state.is_forwarded() {
+            return Err(UploadError::AlreadyForwarded);
+        }
+        let is_too_long = state.upload.length.is_some_and(|length| offset > length);
+        if is_too_long || (state.upload.is_complete && bytes > 0) {
             return Err(UploadError::WrongLength);
         }
-        let (tenant, before) = (state.upload.tenant.clone(), quota_bytes(&state.upload));
-        let added = offset.saturating_sub(before);
-        if !self.fits_quotas(&tenant, added) {
+        let added = offset.saturating_sub(state.quota_bytes());
+        if !self.fits_quotas(&state.upload.tenant, added) {
             return Err(UploadError::QuotaExceeded);
         }
-        self.adjust_usage(&tenant, added, 0);
-        let upload = &mut self.uploads.get_mut(&id).ok_or(UploadError::Unknown)?.upload;
-        (upload.offset, upload.checksum, upload.updated_secs) = (offset, checksum, now_secs);
+        self.update(id, |State { upload, .. }| {
+            (upload.offset, upload.checksum, upload.updated_secs) = (offset, checksum, now_secs);
+        });
         Ok(())
     }
 
@@ -268,29 +270,56 @@
         if state.writer != writer {
             return Err(UploadError::TakenOver);
         }
+        if state.is_forwarded() {
+            return Err(UploadError::AlreadyForwarded);
+        }
         let is_complete = state.upload.length.is_none_or(|length| length == state.upload.offset);
         state.upload.is_complete = is_complete;
         Ok(is_complete)
     }
 
-    /// The log entry for the current offset of an upload.
+    /// The log entry for the current offset of an upload; none once a forward has begun, as the offset is recorded by then.
     pub fn progress_entry(&self, id: UploadId) -> Option<Entry> {
-        let Upload { offset, checksum, updated_secs, is_complete, .. } = *self.get(id)?;
+        let state = self.uploads.get(&id).filter(|state| !state.is_forwarded())?;
+        let Upload { offset, checksum, updated_secs, is_complete, .. } = state.upload;
         Some(Entry::Advanced { id, offset, checksum, updated_secs, is_complete })
     }
 
+    /// Removes an upload that its client no longer wants, and returns the log entry. `effect` is that of executing the upload
+    /// twice.
+    ///
+    /// # Errors
+    /// [`UploadError::Unknown`] if no upload has this id, [`UploadError::AlreadyForwarded`] if its execution has begun and
+    /// can't be undone.
+    pub fn discard(&mut self, id: UploadId, effect: Effect) -> Result<Entry, UploadError> {
+        let is_harmless = match self.phase(id).ok_or(UploadError::Unknown)? {
+            UploadPhase::Receiving | UploadPhase::Complete => true,
+            UploadPhase::Forwarding => effect == Effect::Idempotent,
+            UploadPhase::Executed(_) => false,
+        };
+        if !is_harmless {
+            return Err(UploadError::AlreadyForwarded);
+        }
+        self.remove(id).ok_or(UploadError::Unknown)
+    }
+
     /// Removes an upload, and returns the log entry. Returns `None` if the upload is unknown.
     pub fn remove(&mut self, id: UploadId) -> Option<Entry> {
         let state = self.uploads.remove(&id)?;
-        self.adjust_usage(&state.upload.tenant, 0, quota_bytes(&state.upload));
+        self.adjust_usage(&state.upload.tenant, 0, state.quota_bytes());
         self.record_bytes -= record_bytes(&state.upload);
         Some(Entry::Removed(id))
     }
 
-    /// The uploads that have received no bytes within the expiry time.
+    /// The uploads that have received no bytes within the expiry time. One whose forward is under way does not expire, and
+    /// one that was executed is remembered for the expiry time from then on.
     pub fn expired(&self, now_secs: u64) -> Vec<UploadId> {
-        let is_expired =
-            |state: &State| state.upload.updated_secs.saturating_add(self.limits.expiry_secs) < now_secs;
+        let is_expired = |state: &State| {
+            let has_no_forward = state.phase() != UploadPhase::Forwarding;
+            let is_protected = state.is_protected(now_secs);
+            let expires_secs = state.upload.updated_secs.saturating_add(self.limits.expiry_secs);
+            has_no_forward && !is_protected && expires_secs < now_secs
+        };
         self.uploads.iter().filter(|(_, state)| is_expired(state)).map(|(id, _)| *id).collect()
     }
 
@@ -299,24 +328,33 @@
         match entry {
             Entry::Created(id, upload) => {
                 self.remove(id);
-                self.insert(id, upload);
+                self.insert(
+                    id,
+                    State { upload, writer: self.last_writer, forward: Forward::NotBegun, fingerprint: None },
+                );
             }
             Entry::Advanced { id, offset, checksum, updated_secs, is_complete } => {
-                let Some(mut upload) = self.get(id).cloned() else { return };
-                (upload.offset, upload.checksum, upload.updated_secs, upload.is_complete) =
-                    (offset, checksum, updated_secs, is_complete);
-                self.remove(id);
-                self.insert(id, upload);
+                self.update(id, |State { upload, .. }| {
+                    (upload.offset, upload.checksum, upload.updated_secs, upload.is_complete) =
+                        (offset, checksum, updated_secs, is_complete);
+                });
             }
             Entry::Removed(id) => {
                 self.remove(id);
             }
+            Entry::ForwardBegun(_) | Entry::ForwardReset(_) | Entry::ForwardEnded { .. } => {
+                self.replay_forward(entry);
+            }
         }
     }
 
     /// Entries from which [`replay`](Self::replay) restores the current uploads.
     pub fn snapshot(&self) -> Vec<Entry> {
-        self.uploads.iter().map(|(id, state)| Entry::Created(*id, state.upload.clone())).collect()
+        let entries = |(id, state): (&UploadId, &State)| {
+            let created = Entry::Created(*id, state.upload.clone());
+            std::iter::once(created).chain(state.forward_entry(*id))
+        };
+        self.uploads.iter().flat_map(entries).collect()
     }
 
     /// The ids of all uploads.
--- a/crates/frontends/stream/src/http/error.rs
+++ b/crates/frontends/stream/src/http/error.rs
@@ -42,6 +42,8 @@
     /// The offset given is not the current offset of the upload, or another request has taken the upload
     /// over.
     OffsetMismatch,
+    /// The upload has been forwarded to an upstream, so it can't be changed or cancelled.
+    AlreadyForwarded,
     /// No upload has this id.
     UnknownUpload,
     /// The uploads of the tenant, or all uploads together, would exceed their quota.
@@ -56,7 +58,7 @@
         match self {
             Self::NoMatchingClass | Self::UnknownUpload => 404,
             Self::MethodNotAllowed => 405,
-            Self::OffsetMismatch => 409,
+            Self::OffsetMismatch | Self::AlreadyForwarded => 409,
             Self::BodyTooLarge | Self::ExpandsTooFar => 413,
             Self::UnsupportedCoding => 415,
             Self::UnknownExpectation => 417,
@@ -89,6 +91,7 @@
             Self::UnknownExpectation => "the expectation can't be met",
             Self::BodyTooLarge => "the body is too large",
             Self::OffsetMismatch => "the upload has another offset",
+            Self::AlreadyForwarded => "the upload is complete and was passed on",
             Self::UnknownUpload => "no upload is known by this name",
             Self::QuotaExceeded => "the storage quota for uploads is used up",
             Self::KeyConflict => "the idempotency key belongs to another request",
--- a/crates/frontends/stream/src/proxy/client_connection.rs
+++ b/crates/frontends/stream/src/proxy/client_connection.rs
@@ -127,7 +127,7 @@
             self.connections.set_state(client.number, ConnectionState::Busy);
             let next = match &self.archive {
                 Some(archive) if self.is_upload_request(&request) => {
-                    self.serve_upload_request(archive, socket, client.from, request, &mut received)
+                    self.serve_upload_request(archive, socket, client.from, &request, &mut received)
                 }
                 _ => self.proxy_request(socket, client.from, request, &mut received),
             };
@@ -282,7 +282,7 @@
     }
 
     /// Submits a request to the scheduler, and runs its exchange.
-    pub(super) fn proxy_request(
+    pub(crate) fn proxy_request(
         self: &Arc<Self>,
         socket: &Arc<Socket>,
         from: IpAddr,
--- a/crates/frontends/stream/src/proxy/exchange.rs
+++ b/crates/frontends/stream/src/proxy/exchange.rs
@@ -5,9 +5,10 @@
 use crate::http::{LocalResponse, MessageError};
 use crate::proxied_request::{ProxiedRequest, ProxyError};
 use crate::request_manager::{RequestHandle, TransferAllowance, TransferReport};
-use crate::upload_archive::{PendingOperation, UploadArchive};
+use crate::resumable_upload::ForwardContext;
+use crate::upload_archive::PendingOperation;
 use lynxtally_engine::{FinalResponse, RunEnd, Scheduler};
-use lynxtally_flow::uploads::UploadId;
+use lynxtally_flow::uploads::lifecycle::ForwardEnd;
 use lynxtally_net::close_reason::CloseReason;
 use lynxtally_net::socket::{PeerState, Socket};
 use lynxtally_net::sync::lock;
@@ -43,8 +44,8 @@
 
 /// A request body that is read from the upload archive instead of the client.
 pub(crate) struct ArchivedBody {
-    pub archive: Arc<UploadArchive>,
-    pub id: UploadId,
+    /// The forward that sends the body.
+    pub context: ForwardContext,
     /// Offset of the next byte to read.
     pub offset: u64,
     /// The length of the body in bytes.
@@ -55,6 +56,13 @@
     pub pending_read: Option<PendingOperation>,
 }
 
+impl ArchivedBody {
+    /// The body of a forward that has begun.
+    pub(crate) fn new(length: u64, context: ForwardContext) -> Self {
+        Self { context, offset: 0, length, unused: Vec::new(), pending_read: None }
+    }
+}
+
 /// The state that both coroutines of an exchange share.
 pub(super) struct ExchangeState {
     pub(super) proxied: ProxiedRequest,
@@ -78,6 +86,8 @@
     pub(super) has_pipelined: bool,
     /// The bytes of the request body's copy that are reserved in the copy budget.
     pub(super) copied_bytes: u64,
+    /// The client is gone, and the exchange goes on without it.
+    pub(super) is_detached: bool,
     pub(super) outcome: Option<Outcome>,
 }
 
@@ -98,6 +108,29 @@
         self.has_ever_sent |= bytes > 0;
     }
 
+    /// Handles the end of the client's connection. The execution of an upload goes on once something was sent to an
+    /// upstream: all of its bytes are here, and the client may come back for the response.
+    pub(super) fn client_gone(&mut self, handle: &RequestHandle, reason: CloseReason) {
+        if self.archived_body.is_some() && self.has_ever_sent {
+            self.is_detached = true;
+            handle.detach();
+        } else {
+            self.outcome = Some(Outcome::ClientGone(reason));
+        }
+    }
+
+    /// How the forward of an upload ended, with this outcome for its client.
+    pub(super) fn forward_end(&self, outcome: Outcome) -> ForwardEnd {
+        match self.proxied.response() {
+            Some(response) if self.proxied.is_response_complete() => ForwardEnd::Answered {
+                is_server_error: response.status >= 500,
+                is_delivered: outcome == Outcome::Completed && !self.is_detached,
+            },
+            _ if self.has_ever_sent => ForwardEnd::Lost,
+            _ => ForwardEnd::NotReached,
+        }
+    }
+
     /// Resets the state of the upstream connection. This must be done before the output for the next
     /// connection is prepared: the client's coroutine runs in the meantime, and discards output while the
     /// state says that the upstream takes no more.
@@ -157,6 +190,7 @@
                 client_input_ended: false,
                 has_pipelined: false,
                 copied_bytes: 0,
+                is_detached: false,
                 outcome: None,
             }),
             client: socket.clone(),
@@ -211,31 +245,45 @@
             upstream.reset_on_close();
         }
         let succeeded = state.proxied.response().map(|response| response.status < 500);
-        let has_response = succeeded.is_some() && state.proxied.is_response_complete();
-        let effect = lock(&self.manager).effect(handle);
         let copy = state.proxied.take_response_copy();
         *received = std::mem::take(&mut state.unused_input);
         let next = match outcome {
             Outcome::Completed if closes || state.has_pipelined || state.client_input_ended => None,
             Outcome::Completed => Some(AfterRequest::NextRequest),
             Outcome::Cut => {
+                lock(&self.manager).resources.counts.cut_responses += 1;
                 exchange.client.reset_on_close();
                 Some(AfterRequest::Close(CloseReason::Cancelled))
             }
             Outcome::ClientGone(reason) => Some(AfterRequest::Close(reason)),
         };
+        let next = if state.is_detached { Some(AfterRequest::Close(CloseReason::Reset)) } else { next };
         drop(state);
         exchange.wake_upstream();
         let mut state = lock(&exchange.state);
-        if let Some(archived_body) = state.archived_body.take() {
-            // The upload is removed once it has a response that is no server error, and also if it may have been
-            // executed and is not idempotent. Otherwise it is kept, so that the client may retry it.
-            let may_send_again = effect == lynxtally::Effect::Idempotent || state.sent_bytes == 0;
-            if !may_send_again || (has_response && succeeded == Some(true)) {
-                archived_body.archive.remove(archived_body.id);
-            }
-        }
+        let archived_body = state.archived_body.take();
+        let forward_end = state.forward_end(outcome);
         drop(state);
+        if archived_body.is_some() && matches!(outcome, Outcome::ClientGone(_)) {
+            self.with_manager(|manager, now| manager.caller_gone(now, handle));
+        }
+        let has_ended = archived_body
+            .is_some_and(|body| self.end_forward(handle, &body.context, forward_end, copy.clone()));
+        if !has_ended {
+            self.end_proxied(exchange, outcome, succeeded, copy);
+        }
+        next.unwrap_or_else(|| AfterRequest::Close(self.send_last_response(&exchange.client, &[])))
+    }
+
+    /// Reports the end of an exchange whose body came from the client.
+    fn end_proxied(
+        &self,
+        exchange: &Exchange,
+        outcome: Outcome,
+        succeeded: Option<bool>,
+        copy: Option<Vec<u8>>,
+    ) {
+        let handle = &exchange.handle;
         self.with_manager(|manager, now| match outcome {
             // The request never ran. If its response was the proxy's own, the scheduler still waits for it.
             _ if !handle.is_admitted() => manager.client_gone(now, handle),
@@ -244,7 +292,6 @@
                 manager.end_request(now, handle, RunEnd::Completed(copy.unwrap_or_default()));
             }
             Outcome::Cut => {
-                manager.resources.counts.cut_responses += 1;
                 manager.release_upstream(now, handle, None);
                 manager.end_request(now, handle, RunEnd::Failed);
             }
@@ -253,7 +300,6 @@
                 manager.client_gone(now, handle);
             }
         });
-        next.unwrap_or_else(|| AfterRequest::Close(self.send_last_response(&exchange.client, &[])))
     }
 
     /// Takes the final response that the manager has for an exchange, if there is one.
--- a/crates/frontends/stream/src/proxy/mod.rs
+++ b/crates/frontends/stream/src/proxy/mod.rs
@@ -151,6 +151,18 @@
         result
     }
 
+    /// All counters, as a JSON object.
+    pub fn counters(&self, manager: &RequestManager<P>) -> serde_json::Value {
+        let mut counters = manager.counters();
+        if let Some(archive) = &self.archive {
+            let uploads = archive.uploads.with(|uploads| uploads.counts());
+            counters["uploads"] = uploads.uploads.into();
+            counters["uploads_executed"] = uploads.executed.into();
+            counters["uploads_record_octets"] = uploads.record_bytes.into();
+        }
+        counters
+    }
+
     /// Closes connections that have been idle for too long. During a shutdown the timeout is shorter, but
     /// still long enough for a request that is on its way.
     pub fn sweep(&self, is_shutting_down: bool) {
--- a/crates/frontends/stream/src/proxy/request_direction.rs
+++ b/crates/frontends/stream/src/proxy/request_direction.rs
@@ -120,8 +120,8 @@
         state: &mut ExchangeState,
         room: usize,
     ) -> usize {
-        if exchange.client.is_broken() {
-            state.outcome = Some(Outcome::ClientGone(CloseReason::Reset));
+        if !state.is_detached && exchange.client.is_broken() {
+            state.client_gone(&exchange.handle, CloseReason::Reset);
         }
         let Some(archived_body) =
             state.archived_body.as_mut().filter(|_| room > 0 && state.proxied.wants_request_body())
@@ -148,8 +148,8 @@
             if archived_body.pending_read.is_none() && archived_body.offset < archived_body.length {
                 let max_bytes = (archived_body.length - archived_body.offset).min(usize::MAX as u64) as usize;
                 let handle = exchange.handle.clone();
-                let read = archived_body.archive.read(
-                    archived_body.id,
+                let read = archived_body.context.archive.read(
+                    archived_body.context.id,
                     archived_body.offset,
                     max_bytes,
                     move || handle.wake_client(),
--- a/crates/frontends/stream/src/proxy/response_direction.rs
+++ b/crates/frontends/stream/src/proxy/response_direction.rs
@@ -1,6 +1,6 @@
 //! The response direction of an exchange: from the upstream to the client.
 
-use super::exchange::{Exchange, ExchangeState, Outcome};
+use super::exchange::{Exchange, ExchangeState};
 use super::{Proxy, FRAMING_BYTES};
 use crate::proxied_request::ProxyError;
 use crate::request_manager::{TransferAllowance, TransferReport};
@@ -62,10 +62,13 @@
         let passed = match self.pass_response_through(exchange, state, allowance, bytes, report) {
             Ok(passed) => passed,
             Err(reason) => {
-                state.outcome = Some(Outcome::ClientGone(reason));
-                return Ok(());
+                state.client_gone(&exchange.handle, reason);
+                0
             }
         };
+        if state.outcome.is_some() {
+            return Ok(());
+        }
         if passed == bytes.len() {
             return Ok(());
         }
@@ -81,6 +84,9 @@
         bytes: &[u8],
         report: &mut TransferReport,
     ) -> Result<usize, CloseReason> {
+        if state.is_detached {
+            return Ok(0);
+        }
         let unchanged = state.proxied.response_passthrough_length(bytes.len());
         let allowed = unchanged.min(client_credit(allowance, report));
         if allowed == 0 {
@@ -112,6 +118,11 @@
     report: &mut TransferReport,
 ) -> Result<usize, CloseReason> {
     let output = state.proxied.client_output();
+    if state.is_detached {
+        let discarded = output.len();
+        state.proxied.consume_client_output(discarded);
+        return Ok(discarded);
+    }
     let length = output.len().min(client_credit(allowance, report));
     if length == 0 {
         return Ok(0);
@@ -123,7 +134,10 @@
             Ok(written)
         }
         Err(reason) => {
-            state.outcome = Some(Outcome::ClientGone(reason));
+            state.client_gone(&exchange.handle, reason);
+            if state.is_detached {
+                return Ok(0);
+            }
             Err(reason)
         }
     }
--- a/crates/frontends/stream/src/proxy/upstream_connection.rs
+++ b/crates/frontends/stream/src/proxy/upstream_connection.rs
@@ -5,6 +5,7 @@
 use super::{Proxy, STACK_WORDS};
 use lynxtally::Span;
 use lynxtally_engine::{RunEnd, Scheduler};
+use lynxtally_flow::uploads::lifecycle::ForwardEnd;
 use lynxtally_flow::AttemptState;
 use lynxtally_net::close_reason::CloseReason;
 use lynxtally_net::coroutine::{spawn, Panic};
@@ -113,7 +114,12 @@
     pub(super) fn end_without_upstream(&self, exchange: &Exchange) {
         let state = lock(&exchange.state);
         let is_untouched = !state.has_ever_sent && !state.proxied.has_response_begun();
+        let forward = state.archived_body.as_ref().map(|body| body.context.clone());
         drop(state);
+        let forward_end = if is_untouched { ForwardEnd::NotReached } else { ForwardEnd::Lost };
+        if forward.is_some_and(|forward| self.end_forward(&exchange.handle, &forward, forward_end, None)) {
+            return;
+        }
         let end = if is_untouched { RunEnd::Unavailable(Span::from_secs(1.0)) } else { RunEnd::Failed };
         self.with_manager(|manager, now| manager.end_request(now, &exchange.handle, end));
     }
--- a/crates/frontends/stream/src/request_manager/counts.rs
+++ b/crates/frontends/stream/src/request_manager/counts.rs
@@ -23,6 +23,10 @@
     pub replayed: u64,
     /// Requests that were refused because their idempotency key belongs to another request.
     pub key_conflicts: u64,
+    /// Repeats of an upload's last request that waited for, or got, the response to an earlier one.
+    pub uploads_joined: u64,
+    /// Repeats of an upload's last request that got no response of an upstream, as it is not known or not kept.
+    pub uploads_refused: u64,
     /// The most bytes that all streams have held at one time.
     pub max_held_bytes: u64,
 }
--- a/crates/frontends/stream/src/request_manager/handle.rs
+++ b/crates/frontends/stream/src/request_manager/handle.rs
@@ -14,6 +14,10 @@
     pub admitted: bool,
     /// The request is not run. Its body is received to compare the request with an earlier one.
     pub is_compared: bool,
+    /// The request was admitted and turned out to be a duplicate: it gets the response to an earlier one.
+    pub is_duplicate: bool,
+    /// The client is gone, and the run of the request goes on without it.
+    pub is_detached: bool,
     /// The final response, if it is not the upstream's.
     pub response: Option<FinalResponse>,
 }
@@ -60,6 +64,11 @@
         lock(&self.messages).is_compared
     }
 
+    /// Records that the run goes on although the client is gone. Its response counts as undelivered.
+    pub fn detach(&self) {
+        lock(&self.messages).is_detached = true;
+    }
+
     /// Takes the final response, if there is one that is not the upstream's.
     pub fn take_response(&self) -> Option<FinalResponse> {
         lock(&self.messages).response.take()
--- a/crates/frontends/stream/src/request_manager/mod.rs
+++ b/crates/frontends/stream/src/request_manager/mod.rs
@@ -19,13 +19,15 @@
 use crate::settings::StreamSettings;
 use lynxtally::{CallOutcome, Effect, Gauges, Instant, RequestId, Span};
 use lynxtally_engine::{
-    Engine, Fingerprint, IncomingRequest, RequestCounts, RequestIdentity, RunEnd, Scheduler,
+    Engine, Fingerprint, Identified, IdentityRefusal, IncomingRequest, RequestCounts, RequestIdentity,
+    RunEnd, Scheduler,
 };
 use lynxtally_flow::{
     AttemptState, CopyBudget, LinkScheduler, MemoryPool, ProgressMonitor, RetryPolicy, SizeEstimator,
     UpstreamSelector,
 };
 use lynxtally_net::memory_account::MemoryAccount;
+use lynxtally_net::sync::lock;
 use resources::{client_stream, upstream_stream, PeerWait};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -66,6 +68,8 @@
     is_link_scarce: bool,
     /// The memory of connections. What they hold is not available for windows above their floors.
     account: Arc<MemoryAccount>,
+    /// How long a result is kept for duplicates of a request, by class.
+    result_retention: Vec<Span>,
 }
 
 /// CPU time that this process has used, in seconds.
@@ -103,6 +107,7 @@
         engine.set_timer(now + TICK, TimerKind::Tick);
         let copies = CopyBudget::new(settings.limits.spool_kb << 10, settings.limits.spool_each_kb << 10);
         let is_link_scarce = link.is_some();
+        let classes = &settings.scheduling.classes;
         Self {
             engine,
             resources: StreamResources {
@@ -130,6 +135,7 @@
             open_connections: 0.0,
             is_link_scarce,
             account: MemoryAccount::new(settings.connection_memory),
+            result_retention: classes.iter().map(|class| class.deduplication_window).collect(),
         }
     }
 
@@ -299,6 +305,48 @@
         self.engine.content_received(handle.id(), fingerprint, is_own, &mut self.responses);
     }
 
+    /// Gives an admitted request its identity, right before its effect may begin. A duplicate gets the response to the
+    /// earlier request as its final response.
+    ///
+    /// # Errors
+    /// The identity is refused; the effect must not begin.
+    pub fn identify(
+        &mut self,
+        now: Instant,
+        handle: &Arc<RequestHandle>,
+        identity: RequestIdentity,
+    ) -> Result<Identified, IdentityRefusal> {
+        let id = handle.running_id().ok_or(IdentityRefusal::NotOpen)?;
+        let retained_for = self.result_retention(handle.class);
+        // Set before the engine may respond to the duplicate.
+        lock(&handle.messages).is_duplicate = true;
+        let identified = self.engine.identify(now, id, identity, retained_for, &mut self.responses);
+        lock(&handle.messages).is_duplicate = identified == Ok(Identified::Duplicate);
+        identified
+    }
+
+    /// Keeps the result of an admitted request for its duplicates, whatever its class. Its identity was submitted with it.
+    pub fn retain_result(&mut self, now: Instant, handle: &RequestHandle) {
+        if let Some(id) = handle.running_id() {
+            self.engine.retain_result(now, id, self.result_retention(handle.class));
+        }
+    }
+
+    /// Whether a request with this identity that arrives now would duplicate an earlier one, or conflict with it.
+    pub fn is_identity_known(&self, now: Instant, identity: &RequestIdentity) -> bool {
+        self.engine.is_identity_known(now, identity)
+    }
+
+    /// Forgets the result of a run that has ended, so that the next request with this identity is executed.
+    pub fn forget_result(&mut self, identity: &RequestIdentity) {
+        self.engine.forget_result(identity);
+    }
+
+    /// How long the result of a request of this class is kept for its duplicates.
+    pub fn result_retention(&self, class: usize) -> Span {
+        self.result_retention.get(class).copied().unwrap_or(Span::ZERO)
+    }
+
     /// The effect of executing a request twice, as its class says.
     pub fn effect(&self, handle: &RequestHandle) -> Effect {
         self.resources.classes.get(handle.class).map_or(Effect::Idempotent, |class| class.effect)
@@ -454,9 +502,14 @@
         self.engine.run_ended(now, id, end, &mut self.resources, &mut self.responses);
     }
 
-    /// Records that the client of a request no longer waits for the response.
-    pub fn client_gone(&mut self, now: Instant, handle: &Arc<RequestHandle>) {
+    /// Records that the client of a request no longer waits for the response. The run goes on.
+    pub fn caller_gone(&mut self, now: Instant, handle: &Arc<RequestHandle>) {
         self.engine.caller_gone(now, handle.id(), |other| Arc::ptr_eq(other, handle));
+    }
+
+    /// Records that the client of a request no longer waits for the response, and ends the run.
+    pub fn client_gone(&mut self, now: Instant, handle: &Arc<RequestHandle>) {
+        self.caller_gone(now, handle);
         if handle.is_admitted() {
             self.end_request(now, handle, RunEnd::Stopped);
         }
@@ -482,6 +535,7 @@
             "repeated": streams.retried, "resumed": streams.resumed, "left_out": streams.ejected_upstreams,
             "late": streams.late, "cut": streams.cut_responses, "bad": streams.invalid_messages,
             "replayed": streams.replayed, "key_conflicts": streams.key_conflicts,
+            "uploads_joined": streams.uploads_joined, "uploads_refused": streams.uploads_refused,
             "octets_up": streams.bytes_to_upstreams, "octets_down": streams.bytes_to_clients,
             "held": self.resources.memory.held_bytes(), "held_most": streams.max_held_bytes,
             "scarce_link": self.is_link_scarce,
--- a/crates/frontends/stream/src/request_manager/resources.rs
+++ b/crates/frontends/stream/src/request_manager/resources.rs
@@ -9,6 +9,7 @@
     UpstreamSelector,
 };
 use lynxtally_net::sync::lock;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
 /// Whether a request waits for its client or its upstream. The scheduler sees such a wait as a downstream call.
@@ -165,7 +166,9 @@
         self.gauges_requested = true;
     }
 
-    fn release(&mut self, id: RequestId, _: Arc<RequestHandle>) {
+    fn release(&mut self, id: RequestId, handle: Arc<RequestHandle>) {
+        // The engine ends a duplicate by itself. From now on its id may belong to another request.
+        handle.ended.store(true, Ordering::Relaxed);
         self.release_all(id);
     }
 }
--- a/crates/frontends/stream/src/request_manager/responder.rs
+++ b/crates/frontends/stream/src/request_manager/responder.rs
@@ -12,13 +12,15 @@
 impl Responder<Arc<RequestHandle>> for ResponseDelivery {
     fn respond(&mut self, handle: Arc<RequestHandle>, response: FinalResponse) -> bool {
         let mut messages = lock(&handle.messages);
-        // For an admitted request that completed, the upstream's response has already gone to the client.
-        if !(messages.admitted && matches!(response, FinalResponse::Completed(_))) {
+        let is_own_run = messages.admitted && !messages.is_duplicate;
+        let is_delivered = !messages.is_detached;
+        // For the own run of an admitted request, the upstream's response has already gone to the client.
+        if !(is_own_run && matches!(response, FinalResponse::Completed(_))) {
             messages.response = Some(response);
             drop(messages);
             handle.wake_client();
         }
-        true
+        is_delivered
     }
 
     fn log(&mut self, text: &str) {
--- a/crates/frontends/stream/src/server.rs
+++ b/crates/frontends/stream/src/server.rs
@@ -17,7 +17,7 @@
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::sync::Arc;
 use std::time::Duration;
-use tracing::error;
+use tracing::{error, warn};
 
 /// The size of a coroutine's stack, in words.
 const STACK_WORDS: usize = 0x10000;
@@ -35,6 +35,10 @@
 /// sending the last responses.
 const SHUTDOWN_DEADLINE_FRACTION: f64 = 0.95;
 
+/// The fraction of the shutdown timeout for which the end of the server waits for the archive of uploads. It is less than
+/// what is left after the deadline of the requests.
+const ARCHIVE_TIMEOUT_FRACTION: f64 = 0.03;
+
 /// Commands to a running server.
 pub enum ServerCommand {
     /// Shut down gracefully: finish the running requests, cut off those that do not finish in time, and end.
@@ -96,7 +100,7 @@
     let work = move || {
         supervise(&proxy, &received_commands, shutdown_timeout);
         // The receiver may have been dropped by whoever started the server.
-        let _ = exit_sender.send(close(&proxy));
+        let _ = exit_sender.send(close(&proxy, shutdown_timeout));
     };
     std::thread::Builder::new().name("streams".to_owned()).spawn(work).map_err(StartError::Thread)?;
     Ok(RunningServer { commands, listen_addresses, exit })
@@ -127,13 +131,20 @@
 }
 
 /// Closes the listeners and the idle connections, and returns the result of the server.
-fn close<P: Scheduler + Send + 'static>(proxy: &Arc<Proxy<P>>) -> ServerExit {
+fn close<P: Scheduler + Send + 'static>(proxy: &Arc<Proxy<P>>, shutdown_timeout: Duration) -> ServerExit {
     proxy.listeners.close();
     proxy.sweep(true);
+    let timeout = shutdown_timeout.mul_f64(ARCHIVE_TIMEOUT_FRACTION);
+    let is_archived = proxy.archive.as_ref().is_none_or(|archive| archive.wait_until_idle(timeout));
+    if !is_archived {
+        warn!(
+            "the archive of uploads is still writing; what it has not written is found out at the next start"
+        );
+    }
     proxy.with_manager(|manager, _| {
         let counts = manager.request_counts();
         ServerExit {
-            counters: manager.counters().to_string(),
+            counters: proxy.counters(manager).to_string(),
             is_consistent: counts.is_consistent() && counts.in_flight == 0,
         }
     })
@@ -159,7 +170,7 @@
             Ok(ServerCommand::Shutdown) => begin_shutdown(),
             Ok(ServerCommand::ReportCounters(reply)) => {
                 // The receiver may have been dropped by whoever sent the command.
-                let _ = reply.send(proxy.with_manager(|manager, _| manager.counters().to_string()));
+                let _ = reply.send(proxy.with_manager(|manager, _| proxy.counters(manager).to_string()));
             }
             Err(RecvTimeoutError::Disconnected) if !is_disconnected => {
                 is_disconnected = true;
--- a/crates/frontends/stream/src/settings.rs
+++ b/crates/frontends/stream/src/settings.rs
@@ -601,7 +601,7 @@
 const UPLOAD_RECORDS_DIVISOR: u64 = 16;
 
 /// The longest response, in bytes, that is kept to answer duplicates of a request with an idempotency key.
-const MAX_RESPONSE_COPY_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_RESPONSE_COPY_BYTES: usize = 64 * 1024;
 
 impl ClassSettings {
     fn matches(&self, method: &str, path: &str) -> bool {
--- a/crates/frontends/stream/src/upload_archive/mod.rs
+++ b/crates/frontends/stream/src/upload_archive/mod.rs
@@ -11,14 +11,16 @@
 
 pub use error::{ArchiveError, OpenError, OpenErrorCause};
 
-use lynxtally_flow::uploads::{Entry, UploadId, UploadLimits, Uploads};
+use lynxtally::Effect;
+use lynxtally_flow::uploads::lifecycle::{AfterForward, ForwardEnd};
+use lynxtally_flow::uploads::{Entry, Upload, UploadError, UploadId, UploadLimits, Uploads};
 use lynxtally_net::directory::DirectoryStorage;
 use lynxtally_net::sync::{lock, Shared};
 use recovery::{recover, RecoveredArchive};
 use std::path::Path;
 use std::sync::mpsc::{self, Sender};
 use std::sync::{Arc, Mutex};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tracing::info;
 use worker::{write_snapshot, Completion, Operation, Worker};
 
@@ -31,6 +33,9 @@
 /// The most bytes that one read returns.
 const MAX_READ_BYTES: usize = 128 * 1024;
 
+/// How many executed uploads are forgotten at once if there is no memory for another record.
+const EVICTED_AT_ONCE: usize = 64;
+
 /// The result of an operation: the bytes that were read, or no bytes if the operation was not a read.
 pub type OperationResult = Result<Vec<u8>, ArchiveError>;
 
@@ -137,16 +142,110 @@
 
     /// Makes the bytes of an upload durable, and then the log entry that covers them.
     pub fn record(&self, entry: Entry, wake: impl FnOnce() + Send + 'static) -> PendingOperation {
+        self.record_all(vec![entry], wake)
+    }
+
+    /// Makes the bytes of uploads durable, and then the log entries that cover them, in one step.
+    pub fn record_all(&self, entries: Vec<Entry>, wake: impl FnOnce() + Send + 'static) -> PendingOperation {
         let pending = PendingOperation::default();
-        self.send(Operation::Record { entry, completion: pending.completion(wake) });
+        self.send(Operation::Record { entries, completion: pending.completion(wake) });
         pending
     }
 
+    /// Creates an upload, and returns the operation that makes it durable and the number of its writer. If there is no
+    /// memory for its record, the oldest executed uploads are forgotten that need not be remembered any longer.
+    ///
+    /// # Errors
+    /// As for [`Uploads::create`].
+    pub fn create(
+        &self,
+        id: UploadId,
+        upload: Upload,
+        wake: impl FnOnce() + Send + 'static,
+    ) -> Result<(PendingOperation, u64), UploadError> {
+        let evictable = self.uploads.with(|uploads| {
+            if uploads.has_record_room(&upload) {
+                return Vec::new();
+            }
+            uploads.evictable(unix_seconds(), EVICTED_AT_ONCE)
+        });
+        self.remove_all(evictable);
+        let (entry, writer) = self.uploads.with(|uploads| uploads.create(id, upload))?;
+        Ok((self.record(entry, wake), writer))
+    }
+
+    /// Ends the forward of an upload: records what is known of it, and removes the bytes if they are no longer needed.
+    /// Returns `None` as [`Uploads::end_forward`] does.
+    pub fn end_forward(
+        &self,
+        id: UploadId,
+        number: u64,
+        effect: Effect,
+        end: ForwardEnd,
+        protected_secs: u64,
+    ) -> Option<AfterForward> {
+        let ended = self
+            .uploads
+            .with(|uploads| uploads.end_forward(id, number, effect, end, unix_seconds(), protected_secs));
+        let (after, entry) = ended?;
+        if let Some(entry) = entry {
+            self.record(entry, || ());
+        }
+        if matches!(after, AfterForward::Executed(_) | AfterForward::Removed) {
+            self.send(Operation::Remove { id });
+        }
+        Some(after)
+    }
+
+    /// Records that a client has got the response to the execution of an upload that is kept with its bytes: by an earlier
+    /// forward, or by another upload with the same idempotency key.
+    pub fn response_delivered(&self, id: UploadId, effect: Effect, protected_secs: u64) {
+        let entry = self
+            .uploads
+            .with(|uploads| uploads.response_delivered(id, effect, unix_seconds(), protected_secs));
+        if let Some(entry) = entry {
+            self.record(entry, || ());
+            self.send(Operation::Remove { id });
+        }
+    }
+
+    /// Removes an upload that its client no longer wants. `effect` is that of executing the upload twice.
+    ///
+    /// # Errors
+    /// As for [`Uploads::discard`].
+    pub fn discard(&self, id: UploadId, effect: Effect) -> Result<(), UploadError> {
+        let entry = self.uploads.with(|uploads| uploads.discard(id, effect))?;
+        self.record(entry, || ());
+        self.send(Operation::Remove { id });
+        Ok(())
+    }
+
+    /// Waits until all operations before are completed, but no longer than `timeout`. Returns whether they are. Blocks the
+    /// thread, so no coroutine may call it.
+    pub fn wait_until_idle(&self, timeout: Duration) -> bool {
+        let (sender, receiver) = mpsc::channel();
+        let completion: Completion = Box::new(move |_| {
+            // The receiver is gone if the wait has timed out.
+            let _ = sender.send(());
+        });
+        self.send(Operation::Barrier { completion });
+        receiver.recv_timeout(timeout).is_ok()
+    }
+
     /// Removes an upload and its bytes.
     pub fn remove(&self, id: UploadId) {
-        let removal = self.uploads.with(|uploads| uploads.remove(id));
-        if let Some(entry) = removal {
-            self.record(entry, || ());
+        self.remove_all(vec![id]);
+    }
+
+    /// Removes uploads and their bytes.
+    fn remove_all(&self, ids: Vec<UploadId>) {
+        let entries: Vec<Entry> =
+            self.uploads.with(|uploads| ids.iter().filter_map(|id| uploads.remove(*id)).collect());
+        if entries.is_empty() {
+            return;
+        }
+        self.record_all(entries, || ());
+        for id in ids {
             self.send(Operation::Remove { id });
         }
     }
@@ -154,9 +253,9 @@
     /// Removes the uploads that have expired.
     pub fn remove_expired(&self) {
         let expired = self.uploads.with(|uploads| uploads.expired(unix_seconds()));
-        for id in expired {
-            info!(upload = file_name(id), "upload expired");
-            self.remove(id);
+        for id in &expired {
+            info!(upload = file_name(*id), "upload expired");
         }
+        self.remove_all(expired);
     }
 }
--- a/crates/frontends/stream/src/upload_archive/recovery.rs
+++ b/crates/frontends/stream/src/upload_archive/recovery.rs
@@ -2,7 +2,8 @@
 //! bytes that the log records.
 
 use super::error::{Mismatch, OpenErrorCause};
-use super::{file_name, FILE_SUFFIX, LOG_NAME, MAX_READ_BYTES};
+use super::{file_name, unix_seconds, FILE_SUFFIX, LOG_NAME, MAX_READ_BYTES};
+use lynxtally_flow::uploads::lifecycle::UploadPhase;
 use lynxtally_flow::uploads::{Entry, Upload, UploadId, UploadLimits, Uploads};
 use lynxtally_net::directory::DirectoryStorage;
 use lynxtally_wal::{Recovered, Storage, WriteAheadLog};
@@ -24,6 +25,12 @@
         warn!(%damage, "the log of uploads is damaged; uploads that it does not record are discarded");
     }
     let mut uploads = replay(&recovered, limits)?;
+    for id in uploads.end_interrupted_forwards(unix_seconds()) {
+        warn!(
+            upload = file_name(id),
+            "upload was being forwarded when the process ended; it is not forwarded again, as it may have been executed"
+        );
+    }
     discard_mismatched(storage, &mut uploads);
     remove_orphans(storage, &uploads)?;
     Ok(RecoveredArchive { log, uploads })
@@ -49,6 +56,11 @@
 fn discard_mismatched(storage: &mut DirectoryStorage, uploads: &mut Uploads) {
     for id in uploads.ids() {
         let Some(upload) = uploads.get(id) else { continue };
+        if matches!(uploads.phase(id), Some(UploadPhase::Executed(_))) {
+            // The process may have ended before the file was removed, so it may or may not exist.
+            let _ = storage.remove(&file_name(id));
+            continue;
+        }
         if let Err(reason) = verify(storage, id, upload) {
             warn!(upload = file_name(id), %reason, "upload discarded: its file differs from the log of uploads");
             uploads.remove(id);
--- a/crates/frontends/stream/src/upload_archive/worker.rs
+++ b/crates/frontends/stream/src/upload_archive/worker.rs
@@ -20,10 +20,12 @@
     Append { id: UploadId, bytes: Vec<u8>, completion: Completion },
     /// Reads at most `max_bytes` of the file of an upload.
     Read { id: UploadId, offset: u64, max_bytes: usize, completion: Completion },
-    /// Makes the bytes of an upload durable, and then the log entry that covers them.
-    Record { entry: Entry, completion: Completion },
+    /// Makes the bytes of uploads durable, and then the log entries that cover them.
+    Record { entries: Vec<Entry>, completion: Completion },
     /// Removes the file of an upload.
     Remove { id: UploadId },
+    /// Completes once all operations before it are completed.
+    Barrier { completion: Completion },
 }
 
 impl Operation {
@@ -32,7 +34,8 @@
         match self {
             Self::Append { completion, .. }
             | Self::Read { completion, .. }
-            | Self::Record { completion, .. } => completion(Err(error)),
+            | Self::Record { completion, .. }
+            | Self::Barrier { completion } => completion(Err(error)),
             Self::Remove { .. } => {}
         }
     }
@@ -47,11 +50,14 @@
     /// The first failure to record an entry. After a failed sync it is unknown what is on the disk, so no later entry
     /// is reported as durable.
     failure: Option<ArchiveError>,
+    /// Whether the snapshot before the log has an entry about a forward; see [`Entry`].
+    snapshot_has_forward: bool,
 }
 
 impl Worker {
     pub(super) fn new(storage: DirectoryStorage, log: WriteAheadLog, recorded: Uploads) -> Self {
-        Self { storage, log, recorded, failure: None }
+        let snapshot_has_forward = has_forward(&recorded);
+        Self { storage, log, recorded, failure: None, snapshot_has_forward }
     }
 
     /// Executes operations until the archive is dropped.
@@ -71,8 +77,9 @@
                 let result = self.storage.read_at(&file_name(id), offset, max_bytes);
                 completion(result.map_err(ArchiveError::from));
             }
-            Operation::Record { entry, completion } => {
-                let result = self.record_unless_failed(entry);
+            Operation::Barrier { completion } => completion(Ok(Vec::new())),
+            Operation::Record { entries, completion } => {
+                let result = self.record_unless_failed(entries);
                 completion(result.map(|()| Vec::new()));
             }
             Operation::Remove { id } => {
@@ -82,11 +89,11 @@
         }
     }
 
-    fn record_unless_failed(&mut self, entry: Entry) -> Result<(), ArchiveError> {
+    fn record_unless_failed(&mut self, entries: Vec<Entry>) -> Result<(), ArchiveError> {
         if let Some(error) = &self.failure {
             return Err(error.clone());
         }
-        let result = self.record(entry);
+        let result = self.record(entries);
         if let Err(error) = &result {
             warn!(%error, "writing the log of uploads failed; no upload can be made durable before a restart");
             self.failure = Some(error.clone());
@@ -94,22 +101,40 @@
         result
     }
 
-    fn record(&mut self, entry: Entry) -> Result<(), ArchiveError> {
+    fn record(&mut self, mut entries: Vec<Entry>) -> Result<(), ArchiveError> {
+        // An upload may have been removed after its progress was read; its file may not exist any more.
+        entries.retain(|entry| match entry {
+            Entry::Advanced { id, .. } => self.recorded.get(*id).is_some(),
+            _ => true,
+        });
         // The bytes are made durable before the entry that covers them. With an entry but without its bytes,
         // the upload would be lost at the next start.
-        if let Entry::Advanced { id, offset: 1.., .. } = entry {
-            self.storage.sync(&file_name(id))?;
+        for entry in &entries {
+            if let Entry::Advanced { id, offset: 1.., .. } = entry {
+                self.storage.sync(&file_name(*id))?;
+            }
+        }
+        // An earlier version skips entries that it can't read, but refuses such a snapshot.
+        let needs_snapshot = !self.snapshot_has_forward && entries.iter().any(Entry::is_about_forward);
+        if !needs_snapshot {
+            for entry in &entries {
+                self.log.append(&encode(entry));
+            }
+            self.log.commit(&mut self.storage)?;
         }
-        self.log.append(&encode(&entry));
-        self.log.commit(&mut self.storage)?;
-        self.recorded.replay(entry);
-        if self.log.bytes_since_snapshot() > MAX_LOG_BYTES {
+        entries.into_iter().for_each(|entry| self.recorded.replay(entry));
+        if needs_snapshot || self.log.bytes_since_snapshot() > MAX_LOG_BYTES {
             write_snapshot(&mut self.storage, &mut self.log, &self.recorded)?;
+            self.snapshot_has_forward = has_forward(&self.recorded);
         }
         Ok(())
     }
 }
 
+fn has_forward(uploads: &Uploads) -> bool {
+    uploads.snapshot().iter().any(Entry::is_about_forward)
+}
+
 /// Starts a new generation of the log, with a snapshot of these uploads.
 pub(super) fn write_snapshot(
     storage: &mut DirectoryStorage,
--- a/crates/frontends/stream/tests/harness/mod.rs
+++ b/crates/frontends/stream/tests/harness/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod uploads;
+
 use lynxtally_stream::server::{self, RunningServer, ServerCommand, ServerExit};
 use lynxtally_stream::settings::{SettingsFile, StreamSettings};
 use lynxtally_test_doubles::stream::{Client, Upstream};
