--- a/crates/frontends/stream/src/resumable_upload/append.rs
+++ b/crates/frontends/stream/src/resumable_upload/append.rs
@@ -79,11 +79,16 @@
     ) -> AfterRequest {
         let identity = self
             .known_identity(request.archive, id, origin)
-            .filter(|_| self.is_repeat_of_last(request, id))
+            .filter(|_| request.head.framing == Framing::Empty && self.is_repeat_of_last(request, id))
             .filter(|identity| self.with_manager(|manager, now| manager.is_identity_known(now, identity)));
         let Some(identity) = identity else {
-            let query_class = self.settings.upload_query_class();
-            return match self.admit(request, query_class, None, Some(id)) {
+            // A chunked body may be empty, which is known only once it is received.
+            let class = if self.is_repeat_of_last(request, id) {
+                origin.class
+            } else {
+                self.settings.upload_query_class()
+            };
+            return match self.admit(request, class, None, Some(id)) {
                 Ok(handle) => self.resume_upload(request, &handle, id, received),
                 Err(after) => after,
             };
@@ -106,7 +111,7 @@
         let offset = request.archive.uploads.with(|uploads| uploads.get(id).map(|upload| upload.offset));
         let position = AppendPosition::of(request.head);
         position.is_ok_and(|position| position.is_last && Some(position.offset) == offset)
-            && request.head.framing == Framing::Empty
+            && !matches!(request.head.framing, Framing::Length(_))
     }
 
     /// Resumes an upload at the offset that the request gives, and archives the body of the request.
@@ -134,11 +139,15 @@
         });
         match resumed {
             Ok((number, checksum)) => {
-                let writer = UploadWriter { request, handle, id, number, checksum };
+                let writer = UploadWriter { request, handle, id, number, checksum, digest: None };
                 self.store_body(writer, received, 204)
             }
             Err(UploadError::AlreadyForwarded) if self.is_repeat_of_last(request, id) => {
-                self.repeat_of_forwarded(request, handle, id, received)
+                match self.has_empty_body(request, handle, id, received) {
+                    Ok(true) => self.repeat_of_forwarded(request, handle, id, received),
+                    Ok(false) => refuse(&refusal(UploadError::AlreadyForwarded, upload_state(archive, id))),
+                    Err(after) => after,
+                }
             }
             // A late request that was sent before the last one, without any bytes.
             Err(UploadError::AlreadyForwarded)
--- a/crates/frontends/stream/src/resumable_upload/create.rs
+++ b/crates/frontends/stream/src/resumable_upload/create.rs
@@ -4,7 +4,7 @@
 use super::responses::refusal;
 use super::{upload_path, UploadRequest, REFUSED_RETRY_AFTER};
 use crate::http::{BodyUse, ConnectionUse, Framing, LocalResponse, RequestHead};
-use crate::idempotency::request_identity;
+use crate::idempotency::{request_identity, ContentDigest};
 use crate::proxy::{AfterRequest, Proxy};
 use crate::request_manager::RequestHandle;
 use crate::upload_archive::unix_seconds;
@@ -88,7 +88,9 @@
             self.with_manager(|manager, now| manager.client_gone(now, handle));
             return AfterRequest::Close(reason);
         }
-        let writer = UploadWriter { request, handle, id, number, checksum: 0 };
+        let identity = request_identity(&self.settings, handle.class, head, ContentFingerprint::Pending);
+        let digest = identity.map(|_| ContentDigest::new(head));
+        let writer = UploadWriter { request, handle, id, number, checksum: 0, digest };
         self.store_body(writer, received, 201)
     }
 
--- a/crates/frontends/stream/src/resumable_upload/receive.rs
+++ b/crates/frontends/stream/src/resumable_upload/receive.rs
@@ -5,7 +5,8 @@
 use super::UploadRequest;
 use crate::body_pipe::BodyPipe;
 use crate::content_coder::ContentCoder;
-use crate::http::{Framing, LocalResponse, MessageError};
+use crate::http::{Framing, LocalResponse, MessageError, CONTINUE_RESPONSE};
+use crate::idempotency::ContentDigest;
 use crate::proxy::{AfterRequest, Proxy, BYTES_PER_TURN};
 use crate::request_manager::{RequestHandle, TransferReport};
 use crate::upload_archive::{unix_seconds, PendingOperation};
@@ -19,6 +20,9 @@
 /// Bytes kept free for framing, beside the bytes that are read.
 const FRAMING_BYTES: u64 = 64;
 
+/// The most bytes that are read at once of a body that is expected to have none.
+const SHORT_BODY_BYTES: usize = 1024;
+
 /// How receiving the body of one request ended.
 enum ReceiveOutcome {
     /// The whole body of the request is archived.
@@ -38,6 +42,8 @@
     pub number: u64,
     /// CRC-32C of the bytes of the upload so far.
     pub checksum: u32,
+    /// The fingerprint of the bytes so far, if this request sends them from the first one on and a fingerprint is needed.
+    pub digest: Option<ContentDigest>,
 }
 
 impl<P: Scheduler + Send + 'static> Proxy<P> {
@@ -59,7 +65,10 @@
                 let completed = archive.uploads.with(|uploads| uploads.complete(id, writer.number));
                 match completed {
                     Ok(true) => {
-                        return self.forward_upload(&ExecutionRequest { request, handle, id }, received)
+                        if let Some(digest) = writer.digest.take() {
+                            archive.uploads.with(|uploads| uploads.set_fingerprint(id, digest.finish()));
+                        }
+                        return self.forward_upload(&ExecutionRequest { request, handle, id }, received);
                     }
                     Ok(false) => ReceiveOutcome::Respond(LocalResponse {
                         upload_state: upload_state(archive, id),
@@ -93,6 +102,57 @@
         self.end_with_response(request, handle, &response, RunEnd::Failed, pipe.is_complete())
     }
 
+    /// Tells a client that waits for `100 Continue` to send its body.
+    fn invite_body(&self, request: &UploadRequest, received: &[u8]) -> Result<(), CloseReason> {
+        let has_body = request.head.framing != Framing::Empty;
+        if request.head.known.expects_continue && has_body && received.is_empty() {
+            self.write_all(request.socket, CONTINUE_RESPONSE)?;
+        }
+        Ok(())
+    }
+
+    /// Receives the body of an admitted request as far as it takes to know whether it has any bytes, and returns whether it
+    /// has none.
+    ///
+    /// # Errors
+    /// What happens to the connection of a request that ended in the meantime.
+    pub(super) fn has_empty_body(
+        &self,
+        request: &UploadRequest,
+        handle: &Arc<RequestHandle>,
+        id: UploadId,
+        received: &mut Vec<u8>,
+    ) -> Result<bool, AfterRequest> {
+        let gone = |reason| {
+            self.with_manager(|manager, now| manager.client_gone(now, handle));
+            AfterRequest::Close(reason)
+        };
+        if !matches!(request.head.framing, Framing::Chunked) {
+            return Ok(request.head.framing == Framing::Empty);
+        }
+        self.invite_body(request, received).map_err(gone)?;
+        let mut pipe = BodyPipe::new(request.head.framing, Framing::Close, ContentCoder::identity());
+        let mut is_valid = pipe.start().is_ok();
+        loop {
+            match pipe.receive(received, SHORT_BODY_BYTES) {
+                Ok(used) => drop(received.drain(..used)),
+                Err(_) => is_valid = false,
+            }
+            if !is_valid || pipe.received_bytes() > 0 || pipe.is_complete() {
+                return Ok(is_valid && pipe.is_complete() && pipe.received_bytes() == 0);
+            }
+            if let Some(response) = handle.take_response() {
+                self.with_manager(|manager, now| manager.end_request(now, handle, RunEnd::Failed));
+                return Err(self.answer(request, handle, Some(id), response, false));
+            }
+            let bytes = self.read_available(request.socket, SHORT_BODY_BYTES).map_err(gone)?;
+            if bytes.is_empty() {
+                request.socket.wait();
+            }
+            received.extend_from_slice(&bytes);
+        }
+    }
+
     /// Receives the body of a request and archives it, until the body is complete or an error ends it.
     fn receive_upload(
         &self,
@@ -100,14 +160,12 @@
         pipe: &mut BodyPipe,
         received: &mut Vec<u8>,
     ) -> ReceiveOutcome {
-        let UploadRequest { archive, socket, head, .. } = *writer.request;
+        let UploadRequest { archive, socket, .. } = *writer.request;
         let (handle, id) = (writer.handle, writer.id);
         let mut pending_append: Option<(usize, PendingOperation)> = None;
         let mut bytes_in_turn = 0;
-        if head.known.expects_continue && head.framing != Framing::Empty && received.is_empty() {
-            if let Err(reason) = self.write_all(socket, crate::http::CONTINUE_RESPONSE) {
-                return ReceiveOutcome::ClientGone(reason);
-            }
+        if let Err(reason) = self.invite_body(writer.request, received) {
+            return ReceiveOutcome::ClientGone(reason);
         }
         if let Err(error) = pipe.start() {
             return ReceiveOutcome::Respond(LocalResponse::from_error(error));
@@ -208,6 +266,9 @@
         let uploads = &writer.request.archive.uploads;
         uploads.with(|uploads| uploads.append(id, number, length as u64, checksum, unix_seconds()))?;
         writer.checksum = checksum;
+        if let Some(digest) = &mut writer.digest {
+            digest.update(&bytes);
+        }
         pipe.out.consume(length);
         let waker = writer.request.socket.waker();
         Ok((length, writer.request.archive.append(writer.id, bytes, move || waker.wakeup())))
--- a/crates/frontends/stream/tests/upload_repeats.rs
+++ b/crates/frontends/stream/tests/upload_repeats.rs
@@ -306,3 +306,38 @@
     assert_eq!(executed(&server), 1);
     server.shut_down();
 }
+
+/// A client may send the last, empty request in chunks. Whether a chunked body is empty is known only once it was received.
+#[test]
+fn a_chunked_last_request_is_recognized_as_a_repeat_unless_it_has_bytes() {
+    let (_directory, server) = start("chunked");
+    for (target, _, may_repeat) in CLASSES {
+        let location = create_incomplete(&server, target, &object_bytes(0, LENGTH as u64));
+        let before = server.counters();
+        let send = |parts: &[&[u8]]| {
+            let mut client = server.client();
+            let head = format!(
+                "PATCH {location} HTTP/1.1\r\nHost: h\r\nContent-Type: application/partial-upload\r\n\
+                 Upload-Offset: {LENGTH}\r\nUpload-Complete: ?1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            );
+            client.send(head.as_bytes()).expect("sent");
+            for part in parts {
+                std::thread::sleep(Duration::from_millis(20));
+                client.send(part).expect("sent");
+            }
+            client
+        };
+        let mut first = send(&[b"0\r\n\r\n"]);
+        wait_for_forward(&server, &before);
+        let mut repeats = [send(&[b"0\r\n\r\n"]), send(&[b"0\r", b"\n\r", b"\n"])];
+        assert_eq!(send(&[b"1\r\nx\r\n0\r\n\r\n"]).read_response("PATCH").status, 409, "{target}");
+        for client in std::iter::once(&mut first).chain(&mut repeats) {
+            assert_eq!(outcome(&client.read_response("PATCH")), EXECUTED, "{target}");
+        }
+        if !may_repeat {
+            assert_eq!(outcome(&send(&[b"0\r\n\r\n"]).read_response("PATCH")), EXECUTED, "{target}");
+        }
+    }
+    assert_eq!(executed(&server), CLASSES.len());
+    server.shut_down();
+}
