--- a/crates/frontends/stream/src/proxy/exchange.rs
+++ b/crates/frontends/stream/src/proxy/exchange.rs
@@ -245,7 +245,8 @@
             upstream.reset_on_close();
         }
         let succeeded = state.proxied.response().map(|response| response.status < 500);
-        let copy = state.proxied.take_response_copy();
+        // The copy is whole only if all of the response was written or discarded.
+        let copy = state.proxied.take_response_copy().filter(|_| outcome == Outcome::Completed);
         *received = std::mem::take(&mut state.unused_input);
         let next = match outcome {
             Outcome::Completed if closes || state.has_pipelined || state.client_input_ended => None,
--- a/crates/frontends/stream/tests/upload_repeats.rs
+++ b/crates/frontends/stream/tests/upload_repeats.rs
@@ -341,3 +341,24 @@
     assert_eq!(executed(&server), CLASSES.len());
     server.shut_down();
 }
+
+/// Guards against a response that is cut off for a repeat and looks whole: the deadline passes while the client still receives
+/// the response, of which a copy is kept for repeats.
+#[test]
+fn a_repeat_does_not_get_the_first_part_of_a_response_that_was_cut() {
+    let directory = TestDirectory::new("cut");
+    let mut overrides = overrides(&directory);
+    // The response is received at once, but takes seconds to the client.
+    overrides["limits"] = json!({"link_mbit": 0.01});
+    overrides["stages"][1]["paths"] = json!(["/bytes/3500"]);
+    overrides["stages"][1]["due_ms"] = json!(1000);
+    overrides["stages"][1]["limit_ms"] = json!(1000);
+    let server = TestServer::start(1, overrides);
+    let location = create_incomplete(&server, "/bytes/3500", &object_bytes(0, LENGTH as u64));
+    let first = last(&server, &location);
+    assert!(first.status == 200 && !first.is_complete, "{} {}", first.status, first.body.len());
+    let again = last(&server, &location);
+    assert_eq!(again.status, 502, "{} bytes", again.body.len());
+    assert_eq!(executed(&server), 1);
+    server.shut_down();
+}
