--- a/crates/frontends/stream/src/resumable_upload/append.rs
+++ b/crates/frontends/stream/src/resumable_upload/append.rs
@@ -8,7 +8,7 @@
 use crate::proxy::{AfterRequest, Proxy};
 use crate::request_manager::RequestHandle;
 use crate::upload_archive::UploadArchive;
-use lynxtally_engine::{RunEnd, Scheduler};
+use lynxtally_engine::{RequestIdentity, RunEnd, Scheduler};
 use lynxtally_flow::uploads::lifecycle::UploadPhase;
 use lynxtally_flow::uploads::{UploadError, UploadId};
 use std::sync::Arc;
@@ -77,17 +77,13 @@
         origin: &UploadOrigin,
         received: &mut Vec<u8>,
     ) -> AfterRequest {
-        let identity = self
-            .known_identity(request.archive, id, origin)
-            .filter(|_| request.head.framing == Framing::Empty && self.is_repeat_of_last(request, id))
-            .filter(|identity| self.with_manager(|manager, now| manager.is_identity_known(now, identity)));
+        let may_repeat = self.is_repeat_of_last(request, id);
+        let is_empty = request.head.framing == Framing::Empty;
+        let identity =
+            self.remembered_identity(request.archive, id, origin).filter(|_| may_repeat && is_empty);
         let Some(identity) = identity else {
             // A chunked body may be empty, which is known only once it is received.
-            let class = if self.is_repeat_of_last(request, id) {
-                origin.class
-            } else {
-                self.settings.upload_query_class()
-            };
+            let class = if may_repeat { origin.class } else { self.settings.upload_query_class() };
             return match self.admit(request, class, None, Some(id)) {
                 Ok(handle) => self.resume_upload(request, &handle, id, received),
                 Err(after) => after,
@@ -144,7 +140,7 @@
             }
             Err(UploadError::AlreadyForwarded) if self.is_repeat_of_last(request, id) => {
                 match self.has_empty_body(request, handle, id, received) {
-                    Ok(true) => self.repeat_of_forwarded(request, handle, id, received),
+                    Ok(true) => self.repeat_of_forwarded(&ExecutionRequest { request, handle, id }, received),
                     Ok(false) => refuse(&refusal(UploadError::AlreadyForwarded, upload_state(archive, id))),
                     Err(after) => after,
                 }
@@ -164,30 +160,33 @@
     /// Answers an admitted repeat of the request that completed an upload.
     fn repeat_of_forwarded(
         self: &Arc<Self>,
-        request: &UploadRequest,
-        handle: &Arc<RequestHandle>,
-        id: UploadId,
+        execution: &ExecutionRequest,
         received: &mut Vec<u8>,
     ) -> AfterRequest {
+        let ExecutionRequest { request, handle, id } = *execution;
         let archive = request.archive;
+        let origin = self.upload_origin(archive, id).ok();
+        let remembered = origin.and_then(|origin| self.remembered_identity(archive, id, &origin));
         match archive.uploads.with(|uploads| uploads.phase(id)) {
-            Some(UploadPhase::Executed(outcome)) if !self.is_execution_known(archive, id) => {
+            Some(UploadPhase::Executed(outcome)) if remembered.is_none() => {
                 debug!(upload = super::upload_path(id), ?outcome, "repeated request has no response to get");
                 self.count(|counts| counts.uploads_refused += 1);
                 let response = executed_response(outcome, upload_state(archive, id));
                 self.end_unread(request, handle, &response, RunEnd::Failed)
             }
             // The forward began after this request was submitted.
-            _ => self.forward_upload(&ExecutionRequest { request, handle, id }, received),
+            _ => self.forward_upload(execution, received),
         }
     }
 
-    /// Whether an earlier execution with the identity of an upload is remembered in the life of this process.
-    pub(super) fn is_execution_known(&self, archive: &UploadArchive, id: UploadId) -> bool {
-        let origin = self.upload_origin(archive, id).ok();
-        let identity = origin.and_then(|origin| self.known_identity(archive, id, &origin));
-        identity.is_some_and(|identity| {
-            self.with_manager(|manager, now| manager.is_identity_known(now, &identity))
-        })
+    /// The identity of an upload's execution, if one with this identity is remembered in the life of this process.
+    fn remembered_identity(
+        &self,
+        archive: &UploadArchive,
+        id: UploadId,
+        origin: &UploadOrigin,
+    ) -> Option<RequestIdentity> {
+        let identity = self.known_identity(archive, id, origin)?;
+        self.with_manager(|manager, now| manager.is_identity_known(now, &identity)).then_some(identity)
     }
 }
--- a/crates/frontends/stream/tests/harness/mod.rs
+++ b/crates/frontends/stream/tests/harness/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod directory;
 pub mod uploads;
 
 use lynxtally_stream::server::{self, RunningServer, ServerCommand, ServerExit};
