--- a/crates/core/engine/src/identity.rs
+++ b/crates/core/engine/src/identity.rs
@@ -95,6 +95,11 @@
         &self.key
     }
 
+    /// Whether the key was chosen by a client.
+    pub fn is_client_key(&self) -> bool {
+        matches!(self.key.scope, KeyScope::Tenant(_) | KeyScope::NoTenant)
+    }
+
     /// The content as far as it is known.
     pub fn content(&self) -> ContentFingerprint {
         self.content
--- a/crates/core/flow/src/uploads/forwards.rs
+++ b/crates/core/flow/src/uploads/forwards.rs
@@ -213,6 +213,11 @@
         by_age.into_iter().take(count).map(|(_, id)| id).collect()
     }
 
+    /// The memory that the records of all uploads take, in bytes.
+    pub fn record_bytes(&self) -> u64 {
+        self.record_bytes
+    }
+
     /// How many uploads there are, and how many of them were executed.
     pub fn counts(&self) -> UploadCounts {
         let is_executed = |state: &&State| matches!(state.phase(), UploadPhase::Executed(_));
--- a/crates/core/flow/src/uploads/mod.rs
+++ b/crates/core/flow/src/uploads/mod.rs
@@ -65,6 +65,15 @@
         self.forward.phase(self.upload.is_complete)
     }
 
+    /// About how much memory the record takes.
+    fn record_bytes(&self) -> u64 {
+        let open_bytes = open_record_bytes(&self.upload);
+        match self.phase() {
+            UploadPhase::Executed(_) => open_bytes - RECORD_OVERHEAD_BYTES + EXECUTED_OVERHEAD_BYTES,
+            UploadPhase::Receiving | UploadPhase::Complete | UploadPhase::Forwarding => open_bytes,
+        }
+    }
+
     /// Whether a forward is under way or has ended and no other one may begin.
     fn is_forwarded(&self) -> bool {
         matches!(self.phase(), UploadPhase::Forwarding | UploadPhase::Executed(_))
@@ -95,9 +104,11 @@
 /// What the record of an upload takes in memory besides the names and the head in it: the record, its entries in tables,
 /// and what an operation on it holds.
 const RECORD_OVERHEAD_BYTES: u64 = 512;
+/// The same for an upload that was executed, on which there are no operations any more.
+const EXECUTED_OVERHEAD_BYTES: u64 = 400;
 
-/// About how much memory the record of an upload takes.
-fn record_bytes(upload: &Upload) -> u64 {
+/// About how much memory the record of an upload takes that can receive bytes.
+fn open_record_bytes(upload: &Upload) -> u64 {
     RECORD_OVERHEAD_BYTES + (upload.tenant.len() + upload.request_head.len()) as u64
 }
 
@@ -154,22 +165,23 @@
 
     /// Whether there is memory for the record of another upload.
     pub fn has_record_room(&self, upload: &Upload) -> bool {
-        self.record_bytes + record_bytes(upload) <= self.limits.record_bytes
+        self.record_bytes + open_record_bytes(upload) <= self.limits.record_bytes
     }
 
     fn insert(&mut self, id: UploadId, state: State) {
         self.adjust_usage(&state.upload.tenant, state.quota_bytes(), 0);
-        self.record_bytes += record_bytes(&state.upload);
+        self.record_bytes += state.record_bytes();
         self.uploads.insert(id, state);
     }
 
     /// Changes an upload and the sums that depend on it. Returns `None` if the upload is unknown.
     fn update<T>(&mut self, id: UploadId, change: impl FnOnce(&mut State) -> T) -> Option<T> {
         let state = self.uploads.get_mut(&id)?;
-        let before = state.quota_bytes();
+        let (quota_before, record_before) = (state.quota_bytes(), state.record_bytes());
         let result = change(state);
-        let (tenant, after) = (state.upload.tenant.clone(), state.quota_bytes());
-        self.adjust_usage(&tenant, after, before);
+        let (tenant, quota_after) = (state.upload.tenant.clone(), state.quota_bytes());
+        self.record_bytes = self.record_bytes + state.record_bytes() - record_before;
+        self.adjust_usage(&tenant, quota_after, quota_before);
         Some(result)
     }
 
@@ -307,7 +319,7 @@
     pub fn remove(&mut self, id: UploadId) -> Option<Entry> {
         let state = self.uploads.remove(&id)?;
         self.adjust_usage(&state.upload.tenant, 0, state.quota_bytes());
-        self.record_bytes -= record_bytes(&state.upload);
+        self.record_bytes -= state.record_bytes();
         Some(Entry::Removed(id))
     }
 
--- a/crates/frontends/stream/src/proxy/mod.rs
+++ b/crates/frontends/stream/src/proxy/mod.rs
@@ -176,7 +176,11 @@
             handle.waker.wakeup();
         }
         let open = self.connections.len();
-        lock(&self.manager).set_open_connections(open);
+        let archive = self.archive.as_ref();
+        let uploads = archive.map(|archive| archive.uploads.with(|uploads| uploads.record_bytes()));
+        let mut manager = lock(&self.manager);
+        manager.set_open_connections(open);
+        manager.set_upload_record_bytes(uploads.unwrap_or(0));
     }
 }
 
--- a/crates/frontends/stream/src/request_manager/mod.rs
+++ b/crates/frontends/stream/src/request_manager/mod.rs
@@ -65,6 +65,8 @@
     /// When the CPU time was last read, and the CPU time read then, in seconds.
     last_cpu_time: (Instant, f64),
     open_connections: f64,
+    /// What the records of uploads hold, in bytes. It is not available for windows above their floors.
+    upload_record_bytes: usize,
     is_link_scarce: bool,
     /// The memory of connections. What they hold is not available for windows above their floors.
     account: Arc<MemoryAccount>,
@@ -133,6 +135,7 @@
             gauges: Gauges::default(),
             last_cpu_time: (now, cpu_seconds()),
             open_connections: 0.0,
+            upload_record_bytes: 0,
             is_link_scarce,
             account: MemoryAccount::new(settings.connection_memory),
             result_retention: classes.iter().map(|class| class.deduplication_window).collect(),
@@ -159,6 +162,11 @@
         self.open_connections = open as f64;
     }
 
+    /// Sets what the records of uploads hold, in bytes.
+    pub fn set_upload_record_bytes(&mut self, bytes: u64) {
+        self.upload_record_bytes = bytes as usize;
+    }
+
     /// Handles expired timers and carries out the scheduler's decisions. Returns how long to wait before
     /// calling this again, or `None` if a timer that the caller has already set fires early enough.
     pub fn run(&mut self, now: Instant) -> Option<Span> {
@@ -193,7 +201,7 @@
     fn tick(&mut self, now: Instant) {
         self.engine.set_timer(now + TICK, TimerKind::Tick);
         let running = self.resources.running.iter().flatten().count();
-        let unavailable = self.account.used() + running * COROUTINE_BYTES;
+        let unavailable = self.account.used() + self.upload_record_bytes + running * COROUTINE_BYTES;
         self.resources.memory.set_unavailable(unavailable as u64);
         self.resources.memory.rebalance(now);
         self.resources.counts.max_held_bytes =
--- a/crates/frontends/stream/src/resumable_upload/forward.rs
+++ b/crates/frontends/stream/src/resumable_upload/forward.rs
@@ -1,7 +1,7 @@
 //! Forwards complete uploads to an upstream. [`Uploads`](lynxtally_flow::uploads::Uploads) decides whether a forward may
 //! begin; the engine recognizes requests with the same idempotency key, whether or not they belong to the same upload.
 
-use super::responses::{executed_response, refusal, upload_state};
+use super::responses::{executed_response, failed_response, refusal, upload_state};
 use super::{UploadOrigin, UploadRequest, REFUSED_RETRY_AFTER};
 use crate::http::{LocalResponse, MessageError, RequestHead};
 use crate::idempotency::{request_identity, ContentDigest};
@@ -14,7 +14,7 @@
 use lynxtally_engine::{
     ContentFingerprint, Fingerprint, Identified, IdentityRefusal, RequestIdentity, RunEnd, Scheduler,
 };
-use lynxtally_flow::uploads::lifecycle::{AfterForward, ForwardEnd};
+use lynxtally_flow::uploads::lifecycle::{AfterForward, ForwardEnd, UploadPhase};
 use lynxtally_flow::uploads::{ForwardRefusal, UploadError, UploadId};
 use std::sync::Arc;
 use tracing::debug;
@@ -71,6 +71,10 @@
                 self.count(|counts| counts.key_conflicts += 1);
                 LocalResponse::from_error(MessageError::KeyConflict)
             }
+            // An upload without a client's key is executed once by its own state; only the response is not kept.
+            Err(IdentityRefusal::TooManyKeys) if !identity.is_client_key() => {
+                return self.forward_identified(execution, identity, received);
+            }
             Err(IdentityRefusal::TooManyKeys | IdentityRefusal::NotOpen) => not_taken(request.archive, id),
         };
         self.end_forwardless(execution, &response)
@@ -143,7 +147,7 @@
         match refused {
             ForwardRefusal::Unknown => refusal(UploadError::Unknown, None),
             ForwardRefusal::Incomplete => LocalResponse::from_error(MessageError::InvalidLength),
-            ForwardRefusal::UnderWay => refusal(UploadError::AlreadyForwarded, state),
+            ForwardRefusal::UnderWay => failed_response(Some(UploadPhase::Forwarding), state),
             ForwardRefusal::Executed(outcome) => {
                 self.count(|counts| counts.uploads_refused += 1);
                 executed_response(outcome, state)
--- a/crates/frontends/stream/src/settings.rs
+++ b/crates/frontends/stream/src/settings.rs
@@ -597,8 +597,8 @@
 /// The part of the memory for idempotency keys is one over this.
 const IDEMPOTENCY_KEYS_DIVISOR: u64 = 8;
 
-/// The part of the memory for the records of open uploads is one over this.
-const UPLOAD_RECORDS_DIVISOR: u64 = 16;
+/// The part of the memory for the records of uploads is one over this.
+const UPLOAD_RECORDS_DIVISOR: u64 = 8;
 
 /// The longest response, in bytes, that is kept to answer duplicates of a request with an idempotency key.
 pub(crate) const MAX_RESPONSE_COPY_BYTES: usize = 64 * 1024;
