--- a/crates/frontends/stream/src/resumable_upload/forward.rs
+++ b/crates/frontends/stream/src/resumable_upload/forward.rs
@@ -57,7 +57,7 @@
             // A request of another class, such as a query, would be forwarded by the rules of that class.
             Ok((class, identity)) if class == handle.class => identity,
             Ok(_) => return self.end_forwardless(execution, &not_taken(request.archive, id)),
-            Err(error) => return self.end_forwardless(execution, &LocalResponse::from_error(error)),
+            Err(response) => return self.end_forwardless(execution, &response),
         };
         let identified = self.with_manager(|manager, now| manager.identify(now, handle, identity.clone()));
         let response = match identified {
@@ -147,7 +147,10 @@
         match refused {
             ForwardRefusal::Unknown => refusal(UploadError::Unknown, None),
             ForwardRefusal::Incomplete => LocalResponse::from_error(MessageError::InvalidLength),
-            ForwardRefusal::UnderWay => failed_response(Some(UploadPhase::Forwarding), state),
+            ForwardRefusal::UnderWay => {
+                self.count(|counts| counts.uploads_refused += 1);
+                failed_response(Some(UploadPhase::Forwarding), state)
+            }
             ForwardRefusal::Executed(outcome) => {
                 self.count(|counts| counts.uploads_refused += 1);
                 executed_response(outcome, state)
@@ -169,21 +172,25 @@
         ProxiedRequest::new(request, forwarding)
     }
 
-    /// The class of a complete upload, and the identity that all requests for its execution have: by the client's idempotency key, if its
-    /// class has them, and otherwise by the upload.
+    /// The class of a complete upload, and the identity that all requests for its execution have: by the client's
+    /// idempotency key, if its class has them, and otherwise by the upload.
+    ///
+    /// # Errors
+    /// The response if the upload was removed or can't be read.
     fn execution_identity(
         &self,
         request: &UploadRequest,
         id: UploadId,
-    ) -> Result<(usize, RequestIdentity), MessageError> {
-        let origin = self.upload_origin(request.archive, id)?;
+    ) -> Result<(usize, RequestIdentity), LocalResponse> {
+        let origin = self.upload_origin(request.archive, id).map_err(LocalResponse::from_error)?;
         if let Some(identity) = self.known_identity(request.archive, id, &origin) {
             return Ok((origin.class, identity));
         }
         let fingerprint = self.calculate_fingerprint(request, id, &origin)?;
         request.archive.uploads.with(|uploads| uploads.set_fingerprint(id, fingerprint));
         let identity = self.known_identity(request.archive, id, &origin);
-        Ok((origin.class, identity.ok_or(MessageError::UnknownUpload)?))
+        let identity = identity.ok_or_else(|| refusal(UploadError::Unknown, None))?;
+        Ok((origin.class, identity))
     }
 
     /// The identity of an upload's execution, unless it needs a fingerprint that is not calculated yet.
@@ -202,25 +209,31 @@
     }
 
     /// Calculates the fingerprint of a complete upload, as it is calculated for a request that is not stored.
+    ///
+    /// # Errors
+    /// The response if the upload was removed or can't be read.
     fn calculate_fingerprint(
         &self,
         request: &UploadRequest,
         id: UploadId,
         origin: &UploadOrigin,
-    ) -> Result<Fingerprint, MessageError> {
+    ) -> Result<Fingerprint, LocalResponse> {
         let archive = request.archive;
-        let length = archive.uploads.with(|uploads| uploads.get(id).map(|upload| upload.offset));
-        let length = length.ok_or(MessageError::UnknownUpload)?;
+        let known_length = || archive.uploads.with(|uploads| uploads.get(id).map(|upload| upload.offset));
+        let length = known_length().ok_or_else(|| refusal(UploadError::Unknown, None))?;
         let mut digest = ContentDigest::new(&origin.head);
         let mut offset = 0;
         while offset < length {
             let max_bytes = (length - offset).min(FINGERPRINT_READ_BYTES as u64) as usize;
             let waker = request.socket.waker();
             let read = archive.read(id, offset, max_bytes, move || waker.wakeup());
-            let bytes = self.await_operation(request.socket, &read).unwrap_or_default();
+            let bytes = self.await_operation(request.socket, &read);
+            if known_length().is_none() {
+                return Err(refusal(UploadError::Unknown, None));
+            }
+            let bytes = bytes.map_err(|error| LocalResponse::new(500, error.to_string()))?;
             if bytes.is_empty() {
-                // The upload was removed, or its file can't be read.
-                return Err(MessageError::UnknownUpload);
+                return Err(LocalResponse::new(500, "the file of the upload is too short"));
             }
             digest.update(&bytes);
             offset += bytes.len() as u64;
