--- a/crates/testing/fault-injection/src/lib.rs
+++ b/crates/testing/fault-injection/src/lib.rs
@@ -15,7 +15,8 @@
 pub mod test_dependency;
 pub mod test_node;
 
-use std::net::{SocketAddr, TcpListener};
+use socket2::{Domain, Socket, Type};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
@@ -46,8 +47,16 @@
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let port = 20_000 + (number % 10_000) as u16;
         let address: SocketAddr = ([127, 100, high, low + 1], port).into();
-        if TcpListener::bind(address).is_ok() {
+        if can_bind(address) {
             return address;
         }
     }
 }
+
+/// Whether a listener could bind this address. The socket never listens: a process that another thread starts meanwhile
+/// holds a copy of it until it executes its program, and a copy that listens would keep the address in use.
+fn can_bind(address: SocketAddr) -> bool {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None).expect("a socket is free");
+    socket.set_reuse_address(true).expect("the option exists");
+    socket.bind(&address.into()).is_ok()
+}
