--- a/crates/core/engine/src/engine.rs
+++ b/crates/core/engine/src/engine.rs
@@ -308,9 +308,7 @@
         if let Some(number) = open.call_number.take() {
             executor.cancel_call(&mut open.executor_state, number);
         }
-        // The duplicates of a stopped run keep waiting, because a scheduler may resume it. lynxtally's policy never resumes a
-        // run, so its duplicates get their response at their own deadline.
-        if let Some(identity) = open.identity.as_ref().filter(|_| end != RunEnd::Stopped) {
+        if let Some(identity) = open.identity.as_ref() {
             let result = if let RunEnd::Completed(result) = &end { Some(&result[..]) } else { None };
             let settled = self.deduplication.run_ended(identity.key(), request, result);
             self.settle_duplicates(settled, responder);
--- a/crates/core/engine/tests/engine.rs
+++ b/crates/core/engine/tests/engine.rs
@@ -590,3 +590,21 @@
     assert!(identify_next(None));
     assert!(identify_next(Some(RunEnd::Failed)));
 }
+
+/// Guards against a wait for a result that will never come: a run is stopped, and the duplicates of its request, those that
+/// wait and those that come later, got their responses at their own deadlines.
+#[test]
+fn the_duplicates_of_a_stopped_run_are_answered_at_once() {
+    let mut harness = Harness::new();
+    let first = harness.submit_to_class("first", 1, 1, Some("k")).expect("accepted");
+    harness.advance(0);
+    harness.submit_to_class("waiting", 2, 1, Some("k")).expect("accepted");
+    harness.advance(0);
+    assert_eq!(harness.responses.0, [], "the first run is open");
+    harness.engine.caller_gone(harness.now(), first, |_| true);
+    harness.end(first, RunEnd::Stopped);
+    harness.submit_to_class("later", 3, 1, Some("k")).expect("accepted");
+    harness.advance(0);
+    assert_eq!(harness.responses.0, [2, 3].map(|caller| (caller, FinalResponse::Failed)));
+    assert_eq!(harness.executor.running, [first], "no duplicate is executed");
+}
