--- a/crates/core/engine/src/actions.rs
+++ b/crates/core/engine/src/actions.rs
@@ -128,7 +128,7 @@
         executor.release(request, open.executor_state);
     }
 
-    /// Forgets a request's idempotency key, so that the next request with this key runs. Duplicates that waited fail.
+    /// Forgets a request's idempotency key, so that the next request with this key runs. Duplicates that waited are rejected.
     pub(crate) fn release_key(&mut self, request: RequestId, responder: &mut impl Responder<ReplyTo>) {
         if let Some(identity) = self.identity(request) {
             let settled = self.deduplication.release_key(identity.key(), request);
@@ -149,7 +149,10 @@
         for SettledDuplicate { request, outcome } in settled {
             let response = match outcome {
                 DuplicateOutcome::Result(result) => FinalResponse::Completed(result),
-                DuplicateOutcome::WithoutResult => FinalResponse::Failed,
+                DuplicateOutcome::WithoutResult => FinalResponse::WithoutResult,
+                DuplicateOutcome::NotExecuted => {
+                    FinalResponse::Rejected { retry_after: Span::ZERO, no_retry: false }
+                }
                 DuplicateOutcome::KeyConflict => FinalResponse::KeyConflict,
             };
             self.respond(request, response, responder);
@@ -170,7 +173,9 @@
         match &response {
             FinalResponse::Completed(_) => self.counts.completed += 1,
             FinalResponse::Rejected { .. } => self.counts.rejected += 1,
-            FinalResponse::Failed | FinalResponse::KeyConflict => self.counts.failed += 1,
+            FinalResponse::Failed | FinalResponse::WithoutResult | FinalResponse::KeyConflict => {
+                self.counts.failed += 1;
+            }
         }
         let completed = matches!(response, FinalResponse::Completed(_));
         let delivered = responder.respond(reply_to, response);
--- a/crates/core/engine/src/deduplication.rs
+++ b/crates/core/engine/src/deduplication.rs
@@ -33,6 +33,8 @@
     Result(Vec<u8>),
     /// The duplicate fails, because there is no result that it may get.
     WithoutResult,
+    /// Nothing was executed for the first request. The duplicate may be sent again.
+    NotExecuted,
     /// The duplicate has other content than the first request with its key.
     KeyConflict,
 }
@@ -252,7 +254,7 @@
     }
 
     /// Forgets a key, if `request` is the one that holds it, so that the next request with this key runs. Returns the
-    /// duplicates that waited; they fail.
+    /// duplicates that waited; nothing was executed for them.
     pub fn release_key(&mut self, key: &IdempotencyKey, request: RequestId) -> Vec<SettledDuplicate> {
         // A released id may have been assigned to a duplicate of the request that had it before.
         if self.entries.get(key).is_some_and(|entry| entry.request == request && !entry.released) {
@@ -361,7 +363,7 @@
         }
         let settle = |duplicate: WaitingDuplicate| SettledDuplicate {
             request: duplicate.request,
-            outcome: DuplicateOutcome::WithoutResult,
+            outcome: DuplicateOutcome::NotExecuted,
         };
         entry.waiting.into_iter().map(settle).collect()
     }
--- a/crates/core/engine/src/engine.rs
+++ b/crates/core/engine/src/engine.rs
@@ -309,8 +309,13 @@
             executor.cancel_call(&mut open.executor_state, number);
         }
         if let Some(identity) = open.identity.as_ref() {
-            let result = if let RunEnd::Completed(result) = &end { Some(&result[..]) } else { None };
-            let settled = self.deduplication.run_ended(identity.key(), request, result);
+            let key = identity.key();
+            let settled = match &end {
+                RunEnd::Completed(result) => self.deduplication.run_ended(key, request, Some(result)),
+                RunEnd::Failed | RunEnd::Stopped => self.deduplication.run_ended(key, request, None),
+                // Nothing was executed, so the next request with this key must run.
+                RunEnd::NotStarted | RunEnd::Unavailable(_) => self.deduplication.release_key(key, request),
+            };
             self.settle_duplicates(settled, responder);
         }
         if matches!(end, RunEnd::NotStarted | RunEnd::Unavailable(_)) {
@@ -326,14 +331,8 @@
                 RunOutcome::Responded
             }
             RunEnd::Stopped => RunOutcome::Cancelled,
-            RunEnd::NotStarted => {
-                // Nothing was executed, so the next request with this key must run.
-                self.release_key(request, responder);
-                RunOutcome::NotStarted
-            }
+            RunEnd::NotStarted => RunOutcome::NotStarted,
             RunEnd::Unavailable(retry_after) => {
-                // Nothing was executed, so the next request with this key must run.
-                self.release_key(request, responder);
                 self.respond(request, FinalResponse::Rejected { retry_after, no_retry: false }, responder);
                 RunOutcome::NotStarted
             }
--- a/crates/core/engine/src/response.rs
+++ b/crates/core/engine/src/response.rs
@@ -16,6 +16,9 @@
     },
     /// The request failed. It may have had an effect.
     Failed,
+    /// The request was not executed, because it duplicates an earlier one. That one may have had an effect, and there is no
+    /// result to give.
+    WithoutResult,
     /// The request was not executed, because its idempotency key belongs to a request with other content. That one may
     /// have had an effect.
     KeyConflict,
--- a/crates/frontends/dns/src/server.rs
+++ b/crates/frontends/dns/src/server.rs
@@ -168,7 +168,7 @@
                 let text = format!("busy; come back in {} ms", (retry_after.micros() / 1000).max(1));
                 context.code(ResponseCode::SERVFAIL, Some((ExtendedError::NotReady, text)))
             }
-            FinalResponse::Failed | FinalResponse::KeyConflict => context
+            FinalResponse::Failed | FinalResponse::WithoutResult | FinalResponse::KeyConflict => context
                 .code(ResponseCode::SERVFAIL, Some((ExtendedError::Other, "not done in time".to_owned()))),
         };
         self.send(&context.peer, context.from, octets)
--- a/crates/frontends/stream/src/proxy/exchange.rs
+++ b/crates/frontends/stream/src/proxy/exchange.rs
@@ -330,6 +330,10 @@
             FinalResponse::Completed(_) => {
                 LocalResponse::new(502, "the request was executed before, but its response is not kept")
             }
+            FinalResponse::WithoutResult => LocalResponse::new(
+                502,
+                "an earlier request with this key was or may have been executed, and there is no response to give",
+            ),
             FinalResponse::Failed => match state.failure {
                 Some(reason) => LocalResponse::new(502, format!("the upstream failed: {reason}")),
                 None => LocalResponse::new(504, "not done in time"),
--- a/crates/frontends/stream/src/resumable_upload/repeat.rs
+++ b/crates/frontends/stream/src/resumable_upload/repeat.rs
@@ -65,7 +65,9 @@
                 LocalResponse::from_error(MessageError::KeyConflict)
             }
             FinalResponse::Rejected { .. } => unfinished_response(&response, state),
-            FinalResponse::Failed => failed_response(self.phase_after_failure(archive, id), state),
+            FinalResponse::Failed | FinalResponse::WithoutResult => {
+                failed_response(self.phase_after_failure(archive, id), state)
+            }
         };
         if matches!(local.status, 502 | 504) {
             self.count(|counts| counts.uploads_refused += 1);
--- a/crates/lynxtally-node/src/event_loop/responder.rs
+++ b/crates/lynxtally-node/src/event_loop/responder.rs
@@ -47,7 +47,9 @@
         match &response {
             FinalResponse::Completed(_) => self.counters.completed.increment(),
             FinalResponse::Rejected { .. } => self.counters.rejected.increment(),
-            FinalResponse::Failed | FinalResponse::KeyConflict => self.counters.failed.increment(),
+            FinalResponse::Failed | FinalResponse::WithoutResult | FinalResponse::KeyConflict => {
+                self.counters.failed.increment();
+            }
         }
         let is_delivered = connection.push(ConnectionCommand::Respond(response));
         if !is_delivered {
--- a/crates/lynxtally-node/src/response.rs
+++ b/crates/lynxtally-node/src/response.rs
@@ -22,7 +22,7 @@
     match response {
         FinalResponse::Completed(_) => 200,
         FinalResponse::Rejected { .. } => 503,
-        FinalResponse::Failed | FinalResponse::KeyConflict => 500,
+        FinalResponse::Failed | FinalResponse::WithoutResult | FinalResponse::KeyConflict => 500,
     }
 }
 
@@ -31,7 +31,9 @@
     let (reason, body): (&str, &[u8]) = match response {
         FinalResponse::Completed(result) => ("OK", result),
         FinalResponse::Rejected { .. } => ("Service Unavailable", b""),
-        FinalResponse::Failed | FinalResponse::KeyConflict => ("Internal Server Error", b""),
+        FinalResponse::Failed | FinalResponse::WithoutResult | FinalResponse::KeyConflict => {
+            ("Internal Server Error", b"")
+        }
     };
     write_head(out, status(response), reason, body.len(), context);
     if let FinalResponse::Rejected { retry_after, no_retry } = response {
