--- a/crates/frontends/stream/src/proxied_request/mod.rs
+++ b/crates/frontends/stream/src/proxied_request/mod.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Whether the response is kept for repeats of the request. It is not once it has become too large.
+    pub fn keeps_response(&self) -> bool {
+        self.response_copy.is_some()
+    }
+
     /// Whether the body is received only to compare the request with an earlier one.
     pub fn is_compared(&self) -> bool {
         self.is_compared
--- a/crates/frontends/stream/src/proxy/exchange.rs
+++ b/crates/frontends/stream/src/proxy/exchange.rs
@@ -108,10 +108,17 @@
         self.has_ever_sent |= bytes > 0;
     }
 
-    /// Handles the end of the client's connection. The execution of an upload goes on once something was sent to an
-    /// upstream: all of its bytes are here, and the client may come back for the response.
+    /// Whether the client may come back for the response: all bytes of the request are here, and a repeat of it gets the
+    /// response.
+    fn has_returning_client(&self) -> bool {
+        let is_kept = self.proxied.request_body.is_complete() && self.proxied.keeps_response();
+        self.archived_body.is_some() || is_kept
+    }
+
+    /// Handles the end of the client's connection. An execution for which the client may come back goes on once something
+    /// was sent to an upstream.
     pub(super) fn client_gone(&mut self, handle: &RequestHandle, reason: CloseReason) {
-        if self.archived_body.is_some() && self.has_ever_sent {
+        if self.has_returning_client() && self.has_ever_sent {
             self.is_detached = true;
             handle.detach();
         } else {
--- a/crates/frontends/stream/src/proxy/request_direction.rs
+++ b/crates/frontends/stream/src/proxy/request_direction.rs
@@ -218,10 +218,13 @@
 
 /// After the body, watches for the client's next request and for the end of its connection.
 fn watch_client(exchange: &Exchange, state: &mut ExchangeState, scratch: &mut [u8]) {
+    if state.is_detached {
+        return;
+    }
     if state.has_pipelined || !state.unused_input.is_empty() {
         state.has_pipelined = true;
         if exchange.client.is_broken() {
-            state.outcome = Some(Outcome::ClientGone(CloseReason::Reset));
+            state.client_gone(&exchange.handle, CloseReason::Reset);
         }
         return;
     }
@@ -232,6 +235,6 @@
         }
         Ok(ReadOutcome::WouldBlock) => {}
         Ok(ReadOutcome::EndOfStream) => state.client_input_ended = true,
-        Err(reason) => state.outcome = Some(Outcome::ClientGone(reason)),
+        Err(reason) => state.client_gone(&exchange.handle, reason),
     }
 }
--- /dev/null
+++ b/crates/frontends/stream/tests/lost_clients.rs
@@ -0,0 +1,88 @@
+//! Clients of requests with an idempotency key that lose their connection and repeat the request: each repeat gets the
+//! response to the one execution, learns that there is none to give, or is executed because nothing was.
+
+mod harness;
+
+use harness::TestServer;
+use lynxtally_test_doubles::stream::{object_bytes, Client, ClientResponse};
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+const BODY_BYTES: u64 = 10_000;
+/// Far below the time limit of the class.
+const AT_ONCE: Duration = Duration::from_secs(5);
+
+fn overrides() -> serde_json::Value {
+    json!({
+        "stages": [
+            {"name": "booking", "utility": 4.0, "due_ms": 20_000, "limit_ms": 40_000, "effect": "fingerprinted"},
+        ],
+        // A window takes the whole body, so that the server looks for the client's departure while it connects.
+        "limits": {"connect_ms": 20_000, "floor_kb": 16},
+    })
+}
+
+/// Sends the head of a request, and the first `count` bytes of its body.
+fn send_part(server: &TestServer, target: &str, count: u64) -> Client {
+    let mut client = server.client();
+    let head = format!(
+        "PUT {target} HTTP/1.1\r\nHost: h\r\nIdempotency-Key: \"k\"\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+    );
+    client.send(&[head.as_bytes(), &object_bytes(0, count)].concat()).expect("sent");
+    client
+}
+
+/// Sends the whole request. Returns its response, which must come at once.
+fn repeat(server: &TestServer, target: &str) -> ClientResponse {
+    let start = Instant::now();
+    let response = send_part(server, target, BODY_BYTES).read_response("PUT");
+    assert!(start.elapsed() < AT_ONCE, "{} after {:?}", response.status, start.elapsed());
+    response
+}
+
+fn wait_for_octets_up(server: &TestServer, count: u64) {
+    server.wait_until("the upstream gets the request", |counters| {
+        counters["octets_up"].as_u64() >= Some(count)
+    });
+}
+
+/// Guards against an execution whose result nobody can get: the client lost its connection while its request was executed,
+/// the execution was broken off, and the repeats failed.
+#[test]
+fn a_request_goes_on_without_its_client_and_a_repeat_gets_the_response() {
+    for comes_back_early in [true, false] {
+        let server = TestServer::start(1, overrides());
+        // The upstream takes a second to read the body.
+        let client = send_part(&server, "/slow/100", BODY_BYTES);
+        wait_for_octets_up(&server, BODY_BYTES);
+        client.reset();
+        if !comes_back_early {
+            server.wait_until("the request has ended", |counters| counters["open"] == 0);
+        }
+        for _ in 0..2 {
+            let got = repeat(&server, "/slow/100");
+            assert_eq!((got.status, &got.body[..]), (200, &b"10000 true\n"[..]));
+        }
+        assert_eq!(server.upstreams[0].received_requests().len(), 1);
+        let counters = server.shut_down();
+        assert_eq!(counters["replayed"], 2, "{counters}");
+    }
+}
+
+/// Guards against repeats that wait for their whole time limit: the client lost its connection in the middle of the body.
+/// A part went up, so that nothing more is executed.
+#[test]
+fn a_repeat_of_a_request_that_broke_off_is_told_at_once_that_there_is_no_response() {
+    let server = TestServer::start(1, overrides());
+    let client = send_part(&server, "/count", BODY_BYTES / 2);
+    wait_for_octets_up(&server, BODY_BYTES / 2);
+    let mut waiting = send_part(&server, "/count", BODY_BYTES);
+    server.wait_until("a repeat waits", |counters| counters["open"] == 2);
+    client.reset();
+    assert_eq!(waiting.read_response("PUT").status, 502);
+    for _ in 0..2 {
+        assert_eq!(repeat(&server, "/count").status, 502);
+    }
+    assert_eq!(server.upstreams[0].received_requests().len(), 1);
+    server.shut_down();
+}
