--- a/crates/frontends/stream/src/proxy/exchange.rs
+++ b/crates/frontends/stream/src/proxy/exchange.rs
@@ -271,6 +271,7 @@
         let mut state = lock(&exchange.state);
         let archived_body = state.archived_body.take();
         let forward_end = state.forward_end(outcome);
+        let has_ever_sent = state.has_ever_sent;
         drop(state);
         if archived_body.is_some() && matches!(outcome, Outcome::ClientGone(_)) {
             self.with_manager(|manager, now| manager.caller_gone(now, handle));
@@ -278,23 +279,27 @@
         let has_ended = archived_body
             .is_some_and(|body| self.end_forward(handle, &body.context, forward_end, copy.clone()));
         if !has_ended {
-            self.end_proxied(exchange, outcome, succeeded, copy);
+            // Nothing was executed if nothing was sent: the client may repeat the request under the same identity.
+            let cancelled = if has_ever_sent { RunEnd::Stopped } else { RunEnd::NotStarted };
+            self.end_proxied(exchange, outcome, succeeded, copy, cancelled);
         }
         next.unwrap_or_else(|| AfterRequest::Close(self.send_last_response(&exchange.client, &[])))
     }
 
-    /// Reports the end of an exchange whose body came from the client.
+    /// Reports the end of an exchange whose body came from the client. `cancelled` is how the run has ended if the client is
+    /// gone.
     fn end_proxied(
         &self,
         exchange: &Exchange,
         outcome: Outcome,
         succeeded: Option<bool>,
         copy: Option<Vec<u8>>,
+        cancelled: RunEnd,
     ) {
         let handle = &exchange.handle;
         self.with_manager(|manager, now| match outcome {
             // The request never ran. If its response was the proxy's own, the scheduler still waits for it.
-            _ if !handle.is_admitted() => manager.client_gone(now, handle),
+            _ if !handle.is_admitted() => manager.client_gone(now, handle, cancelled),
             Outcome::Completed => {
                 manager.release_upstream(now, handle, succeeded);
                 manager.end_request(now, handle, RunEnd::Completed(copy.unwrap_or_default()));
@@ -305,7 +310,7 @@
             }
             Outcome::ClientGone(_) => {
                 manager.release_upstream(now, handle, None);
-                manager.client_gone(now, handle);
+                manager.client_gone(now, handle, cancelled);
             }
         });
     }
--- a/crates/frontends/stream/src/request_manager/mod.rs
+++ b/crates/frontends/stream/src/request_manager/mod.rs
@@ -515,11 +515,12 @@
         self.engine.caller_gone(now, handle.id(), |other| Arc::ptr_eq(other, handle));
     }
 
-    /// Records that the client of a request no longer waits for the response, and ends the run.
-    pub fn client_gone(&mut self, now: Instant, handle: &Arc<RequestHandle>) {
+    /// Records that the client of a request no longer waits for the response, and ends the run: as `end` if it was
+    /// admitted.
+    pub fn client_gone(&mut self, now: Instant, handle: &Arc<RequestHandle>, end: RunEnd) {
         self.caller_gone(now, handle);
         if handle.is_admitted() {
-            self.end_request(now, handle, RunEnd::Stopped);
+            self.end_request(now, handle, end);
         }
     }
 
--- a/crates/frontends/stream/src/resumable_upload/create.rs
+++ b/crates/frontends/stream/src/resumable_upload/create.rs
@@ -85,7 +85,7 @@
             );
         }
         if let Err(reason) = self.write_all(socket, &out) {
-            self.with_manager(|manager, now| manager.client_gone(now, handle));
+            self.with_manager(|manager, now| manager.client_gone(now, handle, RunEnd::Stopped));
             return AfterRequest::Close(reason);
         }
         let identity = request_identity(&self.settings, handle.class, head, ContentFingerprint::Pending);
--- a/crates/frontends/stream/src/resumable_upload/mod.rs
+++ b/crates/frontends/stream/src/resumable_upload/mod.rs
@@ -126,7 +126,7 @@
         }
         // Nothing is begun for a client that is gone.
         if socket.is_broken() {
-            self.with_manager(|manager, now| manager.client_gone(now, &handle));
+            self.with_manager(|manager, now| manager.client_gone(now, &handle, RunEnd::Stopped));
             return Err(AfterRequest::Close(CloseReason::Reset));
         }
         Ok(handle)
--- a/crates/frontends/stream/src/resumable_upload/receive.rs
+++ b/crates/frontends/stream/src/resumable_upload/receive.rs
@@ -83,7 +83,7 @@
         let durable = self.make_durable(archive, socket, id);
         let response = match (outcome, durable) {
             (ReceiveOutcome::ClientGone(reason), _) => {
-                self.with_manager(|manager, now| manager.client_gone(now, handle));
+                self.with_manager(|manager, now| manager.client_gone(now, handle, RunEnd::Stopped));
                 return AfterRequest::Close(reason);
             }
             (_, Err(error)) => LocalResponse::new(500, error.to_string()),
@@ -124,7 +124,7 @@
         received: &mut Vec<u8>,
     ) -> Result<bool, AfterRequest> {
         let gone = |reason| {
-            self.with_manager(|manager, now| manager.client_gone(now, handle));
+            self.with_manager(|manager, now| manager.client_gone(now, handle, RunEnd::Stopped));
             AfterRequest::Close(reason)
         };
         if !matches!(request.head.framing, Framing::Chunked) {
--- a/crates/frontends/stream/src/resumable_upload/repeat.rs
+++ b/crates/frontends/stream/src/resumable_upload/repeat.rs
@@ -27,7 +27,7 @@
                 return self.answer(request, handle, Some(id), response, true);
             }
             if request.socket.is_broken() {
-                self.with_manager(|manager, now| manager.client_gone(now, handle));
+                self.with_manager(|manager, now| manager.client_gone(now, handle, RunEnd::Stopped));
                 return AfterRequest::Close(CloseReason::Reset);
             }
             request.socket.wait();
--- a/crates/frontends/stream/tests/lost_clients.rs
+++ b/crates/frontends/stream/tests/lost_clients.rs
@@ -4,8 +4,12 @@
 mod harness;
 
 use harness::TestServer;
-use lynxtally_test_doubles::stream::{object_bytes, Client, ClientResponse};
+use lynxtally_test_doubles::stream::{object_bytes, Client, ClientResponse, Upstream};
 use serde_json::json;
+use socket2::{Domain, Socket, Type};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
 use std::time::{Duration, Instant};
 
 const BODY_BYTES: u64 = 10_000;
@@ -86,3 +90,49 @@
     assert_eq!(server.upstreams[0].received_requests().len(), 1);
     server.shut_down();
 }
+
+/// A listener whose queue of connections is full, so that further connections wait, and the connections that fill it.
+fn full_listener() -> (TcpListener, SocketAddr, Vec<TcpStream>) {
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    listener.bind(&harness::unused_address().into()).expect("bound");
+    listener.listen(0).expect("it listens");
+    let listener = TcpListener::from(listener);
+    let address = listener.local_addr().expect("an address");
+    let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(300)).ok();
+    let queued = std::iter::from_fn(connect).collect();
+    (listener, address, queued)
+}
+
+/// Answers each connection that sends a request.
+fn answer_all(listener: &TcpListener) {
+    for stream in listener.incoming() {
+        let mut stream = stream.expect("a connection");
+        thread::spawn(move || {
+            let mut received = vec![0; 64 * 1024];
+            if stream.read(&mut received).unwrap_or(0) > 0 {
+                let _ = stream
+                    .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\ndone");
+            }
+        });
+    }
+}
+
+/// Guards against a client that can't get its request executed although nothing was: it lost its connection before
+/// anything was sent to an upstream, and its key stayed in use.
+#[test]
+fn a_request_of_which_nothing_went_up_may_come_again() {
+    let (listener, address, queued) = full_listener();
+    let mut upstream = Upstream::start(harness::unused_address()).expect("an upstream");
+    upstream.stop();
+    upstream.address = address;
+    let server = TestServer::with(harness::settings(&[upstream], overrides()), Vec::new());
+    let client = send_part(&server, "/count", BODY_BYTES);
+    server.wait_until("the request is open", |counters| counters["open"] == 1);
+    client.reset();
+    server.wait_until("the client is gone", |counters| counters["gone"] == 1);
+    drop(queued);
+    thread::spawn(move || answer_all(&listener));
+    let got = repeat(&server, "/count");
+    assert_eq!((got.status, &got.body[..]), (200, &b"done"[..]));
+    server.shut_down();
+}
