--- a/crates/frontends/stream/src/request_manager/resources.rs
+++ b/crates/frontends/stream/src/request_manager/resources.rs
@@ -1,5 +1,6 @@
 //! The resources that all requests share, and the executor that the engine starts requests with.
 
+use super::attempts::UpstreamAttempt;
 use super::{RequestHandle, StreamCounts};
 use crate::settings::ClassSettings;
 use lynxtally::{Instant, RequestId, Span};
@@ -28,10 +29,7 @@
     /// Whether any bytes were transferred since the last tick.
     pub(super) has_moved: bool,
     pub(super) peer_wait: PeerWait,
-    pub(super) upstream: Option<usize>,
-    /// Bytes that count as outstanding at the upstream.
-    pub(super) expected_bytes: u64,
-    pub(super) attempt_start: Instant,
+    pub(super) attempt: Option<UpstreamAttempt>,
     /// Bytes that both receivers took since the upstream was chosen.
     pub(super) attempt_bytes: u64,
     /// The client has to send more of the body before the request can go on.
@@ -75,6 +73,11 @@
     StreamId(id.0 * 2 + 1)
 }
 
+/// The request that a stream belongs to.
+pub(super) fn request_of(stream: StreamId) -> RequestId {
+    RequestId(stream.0 / 2)
+}
+
 impl StreamResources {
     pub(super) fn admit(&mut self, id: RequestId, handle: &Arc<RequestHandle>) -> bool {
         let weight = self.classes.get(handle.class).map_or(1.0, |class| class.utility);
@@ -98,9 +101,7 @@
             handle: handle.clone(),
             has_moved: true,
             peer_wait: PeerWait::NotWaiting,
-            upstream: None,
-            expected_bytes: 0,
-            attempt_start: self.now,
+            attempt: None,
             attempt_bytes: 0,
             awaits_client_body: false,
             is_late: false,
