--- a/crates/frontends/stream/src/proxy/request_direction.rs
+++ b/crates/frontends/stream/src/proxy/request_direction.rs
@@ -199,6 +199,12 @@
 /// Fills the buffer with bytes from the client, first those that were received before, and returns how many.
 fn read_client(exchange: &Exchange, state: &mut ExchangeState, buffer: &mut [u8]) -> usize {
     if buffer.is_empty() {
+        // Without a read, only the kernel knows that the client is gone. What was received before may be the rest of the
+        // body, so a body of which something was sent goes on first.
+        let may_become_complete = state.has_ever_sent && !state.unused_input.is_empty();
+        if !may_become_complete && exchange.client.is_broken() {
+            state.outcome = Some(Outcome::ClientGone(CloseReason::Reset));
+        }
         return 0;
     }
     if !state.unused_input.is_empty() {
