--- a/crates/core/zones/src/change.rs
+++ b/crates/core/zones/src/change.rs
@@ -64,6 +64,12 @@
         self.removed.len() + self.added.len()
     }
 
+    /// About what the change takes in memory, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let records = self.removed.iter().chain(&self.added);
+        size_of::<Self>() + records.map(Record::memory_bytes).sum::<usize>()
+    }
+
     /// Removed records, without those that only get another TTL.
     pub fn deleted_records(&self) -> impl Iterator<Item = &Record> {
         without(&self.removed, &self.added)
@@ -175,18 +181,20 @@
     }
 }
 
-/// The most recent changes without a gap, limited by the number of records that they contain.
+/// The most recent changes without a gap, limited by the number of records that they contain and by their memory.
 #[derive(Clone, Debug, Default)]
 pub struct ChangeHistory {
     changes: VecDeque<Arc<Change>>,
     records: usize,
     max_records: usize,
+    bytes: usize,
+    max_bytes: usize,
 }
 
 impl ChangeHistory {
-    /// Creates an empty history for at most `max_records` records.
-    pub fn new(max_records: usize) -> Self {
-        Self { max_records, ..Self::default() }
+    /// Creates an empty history for at most `max_records` records, which take at most `max_bytes` of memory.
+    pub fn new(max_records: usize, max_bytes: usize) -> Self {
+        Self { max_records, max_bytes, ..Self::default() }
     }
 
     /// Appends the newest change. If it does not start from the last serial, the earlier history is useless and is
@@ -196,10 +204,12 @@
             self.clear();
         }
         self.records += change.len();
+        self.bytes += change.memory_bytes();
         self.changes.push_back(change);
-        while self.records > self.max_records {
+        while self.records > self.max_records || self.bytes > self.max_bytes {
             let Some(first) = self.changes.pop_front() else { break };
             self.records -= first.len();
+            self.bytes -= first.memory_bytes();
         }
     }
 
@@ -207,6 +217,7 @@
     pub fn clear(&mut self) {
         self.changes.clear();
         self.records = 0;
+        self.bytes = 0;
     }
 
     /// The changes from a serial on; none if the history does not reach back that far.
--- a/crates/core/zones/src/record.rs
+++ b/crates/core/zones/src/record.rs
@@ -19,7 +19,16 @@
     pub data: Vec<u8>,
 }
 
+/// What an allocation takes besides its content, in bytes.
+const ALLOCATION_OVERHEAD_BYTES: usize = 16;
+
 impl Record {
+    /// About what the record takes in memory, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let content = self.name.wire().len() + self.data.capacity();
+        size_of::<Self>() + content + 2 * ALLOCATION_OVERHEAD_BYTES
+    }
+
     /// Everything but the TTL. Two records with the same key are the same record.
     pub fn key(&self) -> (&Name, RecordType, &[u8]) {
         (&self.name, self.kind, &self.data)
--- a/crates/core/zones/src/zone_store/mod.rs
+++ b/crates/core/zones/src/zone_store/mod.rs
@@ -38,6 +38,8 @@
 pub struct ZoneStoreLimits {
     /// Maximum number of records in the change history that is kept for IXFR.
     pub max_history_records: usize,
+    /// About how much memory the change history may take, in bytes.
+    pub max_history_bytes: usize,
     /// How long an update identifier is remembered for detecting duplicates.
     pub deduplication_window: Span,
     /// Maximum number of update identifiers that are remembered.
@@ -52,6 +54,7 @@
     fn default() -> Self {
         Self {
             max_history_records: 100_000,
+            max_history_bytes: 8 << 20,
             deduplication_window: Span::from_millis(300_000),
             max_known_updates: 100_000,
             max_records: 10_000_000,
@@ -130,7 +133,7 @@
             base,
             base_file,
             pending: VecDeque::new(),
-            history: ChangeHistory::new(limits.max_history_records),
+            history: ChangeHistory::new(limits.max_history_records, limits.max_history_bytes),
             known_updates: KnownUpdates::default(),
             leases: LeaseTable::new(limits.leases),
             frozen: None,
--- a/crates/core/zones/tests/updates.rs
+++ b/crates/core/zones/tests/updates.rs
@@ -3,7 +3,7 @@
 use lynxtally::{Instant, Span};
 use lynxtally_test_doubles::storage::{MemoryStorage, UNSYNCED_OUTCOMES};
 use lynxtally_wal::{Rotation, WriteAheadLog};
-use lynxtally_zones::change::diff;
+use lynxtally_zones::change::{diff, Change};
 use lynxtally_zones::update::{Grant, Scope, Update, UpdateClass, UpdateError, UpdateRecord};
 use lynxtally_zones::zone_file::{self, ZoneFileLimits};
 use lynxtally_zones::zone_store::{self, decode, encode, FreezeReason, ReloadError, Snapshot, ZoneStore};
@@ -240,6 +240,32 @@
     assert!(!store.thaw(), "an operator can't thaw a zone whose log failed");
 }
 
+/// Guards against memory without a bound: a client replaces one large record again and again, and the change history holds
+/// each of its versions until there are 100,000 records.
+#[test]
+fn the_change_history_is_limited_by_its_memory() {
+    const UPDATES: u32 = 400;
+    let text = |number: u32| -> Vec<u8> {
+        let part = [&[255], &number.to_be_bytes().repeat(64)[..255]].concat();
+        part.repeat(200)
+    };
+    let mut store = new_store(zone(1, ""));
+    for number in 1..=UPDATES {
+        let delete = raw("a", RecordType::TXT, UpdateClass::Any, 0, &[]);
+        let add = raw("a", RecordType::TXT, UpdateClass::Zone, 60, &text(number));
+        apply_durably(&mut store, 0, &[delete, add], number.into());
+    }
+    let last = store.current().serial();
+    let max_bytes = zone_store::ZoneStoreLimits::default().max_history_bytes;
+    let reachable = (0..UPDATES).map_while(|back| store.changes_since(Serial(last.0 - back)));
+    let changes = reachable.last().expect("the newest version is known");
+    let data_bytes = |change: &Change| -> usize {
+        change.removed.iter().chain(&change.added).map(|record| record.data.len()).sum()
+    };
+    let bytes: usize = changes.iter().map(|change| data_bytes(change)).sum();
+    assert!(bytes <= max_bytes && bytes > max_bytes * 9 / 10, "{bytes} bytes in {} changes", changes.len());
+}
+
 #[test]
 fn a_duplicate_gets_the_result_of_the_first_attempt() {
     let mut store = new_store(zone(1, ""));
--- a/crates/frontends/dns/src/executor.rs
+++ b/crates/frontends/dns/src/executor.rs
@@ -537,6 +537,7 @@
         change: Change,
         limits: &settings::Limits,
     ) -> Vec<Zone> {
+        let limits = limits.zone_store_limits(self.zones.len());
         let zone = &mut self.zones[zone_index];
         match &mut zone.store {
             Some(store) => {
@@ -545,7 +546,7 @@
                 retired
             }
             None => {
-                let mut store = ZoneStore::new(version, file.clone(), limits.zone_store_limits());
+                let mut store = ZoneStore::new(version, file.clone(), limits);
                 store.freeze(FreezeReason::Secondary);
                 zone.store = Some(store);
                 zone.append_entry(&ZoneLogEntry::Followed { base: file });
--- a/crates/frontends/dns/src/server.rs
+++ b/crates/frontends/dns/src/server.rs
@@ -483,7 +483,7 @@
 ) -> Result<ZoneState, String> {
     let name = journal_name(zone);
     let (mut journal, found) = WriteAheadLog::open(folder, &name).map_err(|fault| fault.to_string())?;
-    let limits = settings.limits.zone_store_limits();
+    let limits = settings.limits.zone_store_limits(settings.zones.len());
     if let Some(cut) = &found.torn_tail {
         warn!(
             zone = %zone.apex, file = cut.file, at = cut.offset, octets = cut.length,
--- a/crates/frontends/dns/src/settings.rs
+++ b/crates/frontends/dns/src/settings.rs
@@ -211,7 +211,8 @@
     pub prefix_least: f64,
     /// Whether a UDP client without a valid cookie or signature gets no response longer than its request.
     pub proof: bool,
-    /// The number of records in a zone's change history, from which incremental transfers are answered.
+    /// The number of records in a zone's change history, from which incremental transfers are answered. The histories of all
+    /// zones take an eighth of the memory at most.
     pub history: usize,
     /// For how long a repeated update is recognized, in seconds.
     pub repeats_s: u64,
@@ -297,6 +298,8 @@
 pub const VIRTUAL_CORES: u32 = 32;
 /// The part of the memory for requests that wait or run is one over this.
 const REQUESTS_MEMORY_DIVISOR: u64 = 4;
+/// The part of the memory for the change histories of all zones is one over this.
+const HISTORY_MEMORY_DIVISOR: u64 = 8;
 /// The part of the memory for connections, in eighths. The rest is for the program itself.
 const CONNECTIONS_MEMORY_EIGHTHS: u64 = 3;
 /// The memory of a running request, as a multiple of that of a queued one.
@@ -448,10 +451,12 @@
         Ok(())
     }
 
-    /// The limits of a zone store.
-    pub fn zone_store_limits(&self) -> zone_store::ZoneStoreLimits {
+    /// The limits of the store of one of `zones` zones.
+    pub fn zone_store_limits(&self, zones: usize) -> zone_store::ZoneStoreLimits {
+        let history_bytes = (self.memory_mb << 20) / HISTORY_MEMORY_DIVISOR;
         let mut limits = zone_store::ZoneStoreLimits {
             max_history_records: self.history,
+            max_history_bytes: history_bytes as usize / zones.max(1),
             deduplication_window: Span::from_secs(self.repeats_s as f64),
             max_records: self.records,
             ..zone_store::ZoneStoreLimits::default()
