--- a/crates/frontends/dns/src/server.rs
+++ b/crates/frontends/dns/src/server.rs
@@ -1,6 +1,7 @@
 //! The DNS server. One thread owns the engine and the zones: it reads datagrams in batches, handles events, and passes
 //! log writes, transfers and slow jobs to other threads. What is run or rejected is decided by the scheduler.
 
+use crate::base_files::remove_unreferenced_bases;
 use crate::client::{self, Client};
 use crate::codec::{
     ExtendedError, Request, RequestBody, RequestError, ResponseCode, ResponseLimits, MAX_MESSAGE_BYTES,
@@ -55,9 +56,6 @@
 /// How long queued datagrams, and events, are handled in one turn before what arrived meanwhile is received.
 const DATAGRAM_TURN: Span = Span::from_millis(1);
 const EVENT_TURN: Span = Span::from_millis(2);
-/// The minimum age at which an unreferenced base file is deleted. The log entry that references a new base file is
-/// written within seconds.
-const MIN_BASE_AGE: Duration = Duration::from_secs(600);
 /// How often connections that have been idle for too long are closed.
 const IDLE_CHECK_INTERVAL: Span = Span::from_millis(1000);
 
@@ -564,7 +562,9 @@
                 let octets = encode(&store.snapshot());
                 WriteAheadLog::write_snapshot(&mut folder, &name, rotation, &octets)
                     .map_err(|fault| fault.to_string())?;
-                remove_unreferenced_bases(state, &mut folder, &name);
+                if let Err(error) = remove_unreferenced_bases(state, &mut folder, &name) {
+                    warn!(name, %error, "can't tell which base files are unreferenced; they are kept");
+                }
                 Ok(())
             });
             events.push(ServerEvent::SnapshotWritten(zone, result));
@@ -583,32 +583,6 @@
     }
 }
 
-/// Deletes base files that are referenced by no remaining snapshot or log. The last two snapshots and the logs after them
-/// remain.
-fn remove_unreferenced_bases(state: &Path, folder: &mut DirectoryStorage, name: &str) {
-    let Ok(files) = folder.list() else { return };
-    let mut referenced = Vec::new();
-    for file in files.iter().filter(|file| file.starts_with(&format!("{name}."))) {
-        let Ok(Some(octets)) = folder.read(file) else { return };
-        if file.ends_with(".snap") {
-            let Some(sealed) = lynxtally_wal::decode_checksummed_file(&octets) else { return };
-            let Ok(snapshot) = decode::<Snapshot>(sealed.content) else { return };
-            referenced.push(snapshot.base);
-        } else if file.ends_with(".log") {
-            // A log entry holds the name of its base file as plain text.
-            referenced.push(String::from_utf8_lossy(&octets).into_owned());
-        }
-    }
-    for file in files.iter().filter(|file| file.starts_with(&format!("{name}.")) && file.ends_with(".base")) {
-        // A recent base file may be referenced by an entry that is not yet written to the log.
-        let written = std::fs::metadata(state.join(file)).and_then(|found| found.modified());
-        let recent = written.is_ok_and(|modified| modified.elapsed().unwrap_or_default() < MIN_BASE_AGE);
-        if !recent && !referenced.iter().any(|text| text.contains(file.as_str())) {
-            let _ = folder.remove(file);
-        }
-    }
-}
-
 impl<P: Scheduler> Server<P> {
     /// The server loop. It needs a thread of its own: as a coroutine that always has work it would keep its worker from
     /// polling for the events that other coroutines wait for.
--- a/crates/frontends/dns/tests/test_server/mod.rs
+++ b/crates/frontends/dns/tests/test_server/mod.rs
@@ -1,5 +1,7 @@
 //! A DNS server in the test process, with a temporary folder of its own.
 
+#![allow(dead_code)]
+
 use lynxtally_dns::client::Client;
 use lynxtally_dns::control::{self, Command};
 use lynxtally_dns::server::{self, RunningServer, ServerEvent};
