--- a/crates/core/zones/src/update.rs
+++ b/crates/core/zones/src/update.rs
@@ -26,7 +26,7 @@
     SetMissing,
     /// A record set that must not exist does exist.
     SetExists,
-    /// The key of the update is not permitted to make this change, or the zone would get too many records.
+    /// The key of the update is not permitted to make this change, or the zone would get too large.
     NotAllowed,
     /// The zone accepts no updates at present.
     Frozen,
--- a/crates/core/zones/src/zone.rs
+++ b/crates/core/zones/src/zone.rs
@@ -44,8 +44,41 @@
     apex: Name,
     apex_labels: usize,
     root: Arc<Node>,
+    counts: Counts,
+}
+
+/// What a version, or one of its nodes, holds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
     records: usize,
     names: usize,
+    /// The record sets' data in packed form, and what a set takes besides.
+    set_bytes: usize,
+}
+
+/// What a record set takes in memory besides its data.
+const SET_OVERHEAD_BYTES: usize = 64;
+/// About what a name with records takes in memory besides its record sets.
+const NAME_BYTES: usize = 240;
+
+impl Counts {
+    fn of(node: &Node) -> Self {
+        let sets = node.sets();
+        Self {
+            records: sets.iter().map(RecordSet::count).sum(),
+            names: usize::from(!sets.is_empty()),
+            set_bytes: sets.iter().map(|set| set.packed().len() + SET_OVERHEAD_BYTES).sum(),
+        }
+    }
+
+    /// These counts after a node's counts changed.
+    fn replace(self, before: Self, after: Self) -> Self {
+        Self {
+            records: self.records + after.records - before.records,
+            names: self.names + after.names - before.names,
+            set_bytes: self.set_bytes + after.set_bytes - before.set_bytes,
+        }
+    }
 }
 
 type Path<'a> = SmallVec<[&'a [u8]; 8]>;
@@ -55,7 +88,7 @@
     pub fn new(apex: Name) -> Self {
         let apex_labels = apex.labels().count();
         let root = Arc::new(Node::new(apex.labels().next().unwrap_or(&[])));
-        Self { apex, apex_labels, root, records: 0, names: 0 }
+        Self { apex, apex_labels, root, counts: Counts::default() }
     }
 
     /// The topmost name of the zone.
@@ -70,12 +103,17 @@
 
     /// The number of records.
     pub fn record_count(&self) -> usize {
-        self.records
+        self.counts.records
     }
 
     /// The number of names that have records.
     pub fn name_count(&self) -> usize {
-        self.names
+        self.counts.names
+    }
+
+    /// About what the records take in memory, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.counts.set_bytes + self.counts.names * NAME_BYTES
     }
 
     /// Whether both are the same version. Compares the shared root node, so it costs the same for any size.
@@ -140,22 +178,20 @@
             self.node(name.wire())?;
         }
         let path = self.path(name.wire())?;
-        let count = |node: &Node| node.sets().iter().map(RecordSet::count).sum::<usize>();
-        let (mut before, mut after) = ((0, 0), (0, 0));
+        let (mut before, mut after) = (Counts::default(), Counts::default());
         let changed = edit(
             &mut self.root,
             &path,
             &mut |node| {
-                before = (count(node), usize::from(!node.sets().is_empty()));
+                before = Counts::of(node);
             },
             |node| {
                 let result = change(node.sets_mut());
-                after = (count(node), usize::from(!node.sets().is_empty()));
+                after = Counts::of(node);
                 result
             },
         );
-        self.records = self.records + after.0 - before.0;
-        self.names = self.names + after.1 - before.1;
+        self.counts = self.counts.replace(before, after);
         Some(changed)
     }
 
--- a/crates/core/zones/src/zone_store/mod.rs
+++ b/crates/core/zones/src/zone_store/mod.rs
@@ -46,6 +46,8 @@
     pub max_known_updates: usize,
     /// Maximum number of records in the zone.
     pub max_records: usize,
+    /// About how much memory the zone's records may take after an update that makes them take more, in bytes.
+    pub max_zone_bytes: usize,
     /// Limits for the leases of records.
     pub leases: LeaseLimits,
 }
@@ -58,6 +60,7 @@
             deduplication_window: Span::from_millis(300_000),
             max_known_updates: 100_000,
             max_records: 10_000_000,
+            max_zone_bytes: usize::MAX,
             leases: LeaseLimits::default(),
         }
     }
@@ -329,7 +332,7 @@
             None => update.evaluate(&self.latest, grants, key),
         };
         let evaluated = evaluated.and_then(|next| match next {
-            Some((zone, _)) if zone.record_count() > self.limits.max_records => Err(UpdateError::NotAllowed),
+            Some((zone, _)) if self.is_too_large(&zone) => Err(UpdateError::NotAllowed),
             next => Ok(next),
         });
         let (result, entry) = match evaluated {
@@ -345,6 +348,14 @@
         UpdateOutcome { result, entry, lease, duplicate: false }
     }
 
+    /// Whether an update that leads to this version is refused because of its size. An update that makes a zone smaller is
+    /// not, however large the zone is.
+    fn is_too_large(&self, next: &Zone) -> bool {
+        let grows = next.memory_bytes() > self.latest.memory_bytes();
+        next.record_count() > self.limits.max_records
+            || (grows && next.memory_bytes() > self.limits.max_zone_bytes)
+    }
+
     /// Applies an evaluated update: `next` is the version and the change that it makes, if any. Returns the serial of the
     /// version that contains the update, and the log entry.
     fn accept(
--- a/crates/core/zones/tests/updates.rs
+++ b/crates/core/zones/tests/updates.rs
@@ -266,6 +266,32 @@
     assert!(bytes <= max_bytes && bytes > max_bytes * 9 / 10, "{bytes} bytes in {} changes", changes.len());
 }
 
+/// Guards against memory without a bound: the number of records is limited, but not what each of them takes. A zone that is
+/// too large can still be made smaller, and what was deleted may be added again.
+#[test]
+fn an_update_that_makes_a_zone_take_too_much_memory_is_refused() {
+    const MAX_BYTES: usize = 100_000;
+    let limits =
+        zone_store::ZoneStoreLimits { max_zone_bytes: MAX_BYTES, ..zone_store::ZoneStoreLimits::default() };
+    let mut store = ZoneStore::new(zone(1, ""), "b".into(), limits);
+    let empty_bytes = store.current().memory_bytes();
+    let text = [&[255][..], &[b'x'; 255]].concat().repeat(40);
+    let add_text = |owner: &str| raw(owner, RecordType::TXT, UpdateClass::Zone, 60, &text);
+    let delete_text = |owner: &str| raw(owner, RecordType::TXT, UpdateClass::Any, 0, &[]);
+    let fitting = (MAX_BYTES - empty_bytes) / (text.len() + 400);
+    for number in 0..fitting {
+        apply_durably(&mut store, 0, &[add_text(&format!("t{number}"))], number as u64 + 1);
+    }
+    let refused = apply_update(&mut store, 0, &[add_text("last"), add("a", 1)], 1000, None);
+    assert_eq!((refused.result, refused.entry.is_none()), (Err(UpdateError::NotAllowed), true));
+    assert!(store.current().memory_bytes() <= MAX_BYTES);
+    apply_durably(&mut store, 0, &[delete_text("t0"), add_text("last")], 1001);
+    let mut deletions: Vec<UpdateRecord> = (1..fitting).map(|n| delete_text(&format!("t{n}"))).collect();
+    deletions.push(delete_text("last"));
+    apply_durably(&mut store, 0, &deletions, 1002);
+    assert_eq!(store.current().memory_bytes(), empty_bytes);
+}
+
 #[test]
 fn a_duplicate_gets_the_result_of_the_first_attempt() {
     let mut store = new_store(zone(1, ""));
--- a/crates/frontends/dns/src/settings.rs
+++ b/crates/frontends/dns/src/settings.rs
@@ -220,6 +220,9 @@
     pub log_mb: u64,
     /// The greatest number of records in a zone.
     pub records: usize,
+    /// About how much memory a zone's records may take, in MB: an update that would make them take more is refused. 0 is no
+    /// limit.
+    pub zone_mb: u64,
     /// The shortest lease that is granted, in seconds.
     pub lease_least_s: u64,
     /// The greatest share of a name's addresses that may expire within the length of one lease.
@@ -242,6 +245,7 @@
             repeats_s: 300,
             log_mb: 64,
             records: 10_000_000,
+            zone_mb: 0,
             lease_least_s: 30,
             lease_share: 1.0 / 3.0,
             lease_suspect: 0.5,
@@ -459,6 +463,7 @@
             max_history_bytes: history_bytes as usize / zones.max(1),
             deduplication_window: Span::from_secs(self.repeats_s as f64),
             max_records: self.records,
+            max_zone_bytes: if self.zone_mb == 0 { usize::MAX } else { (self.zone_mb << 20) as usize },
             ..zone_store::ZoneStoreLimits::default()
         };
         limits.leases.min_duration = Span::from_secs(self.lease_least_s as f64);
